--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,12 +11,18 @@
       '**/dist/**',
       '**/node_modules/**',
       'packages/*/src/generated/**',
+      'platform/src/generated/**',
+      'target/**',
     ],
   },
   ...gts,
   {
     files: ['**/*.ts'],
-    languageOptions: {parserOptions: {project: './packages/*/tsconfig.json'}},
+    languageOptions: {
+      parserOptions: {
+        project: ['./packages/*/tsconfig.json', './platform/tsconfig.json'],
+      },
+    },
     rules: {
       '@typescript-eslint/no-floating-promises': [
         'error',
--- a/packages/coordination/src/clock/clock.ts
+++ b/packages/coordination/src/clock/clock.ts
@@ -34,3 +34,9 @@
       signal?.addEventListener('abort', finish);
     }),
 };
+
+/** A clock that never jumps; its times are not those of the day. */
+export const STEADY_CLOCK: Clock = {
+  now: () => performance.now(),
+  sleep: SYSTEM_CLOCK.sleep,
+};
--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -34,3 +34,18 @@
 
 /** Time for which a suspicion is kept. */
 export const SUSPICION_LIFETIME_MILLISECONDS = 3_600_000;
+
+/**
+ * Longest pause of a reader of a keyed topic after a failure: a tenth of the
+ * shortest time for which keys may be used without news.
+ */
+export const TOPIC_BACKOFF_MILLISECONDS = 400;
+
+/**
+ * Time after an outage of the store within which live endpoints write their
+ * entries again.
+ */
+export const LAPSED_ENTRY_GRACE_MILLISECONDS = 2_000;
+
+/** Heartbeats of silence after which the store may drop an entry. */
+export const HEARTBEATS_UNTIL_LAPSE = 2;
--- a/packages/daemon/src/briarpind.ts
+++ b/packages/daemon/src/briarpind.ts
@@ -14,25 +14,34 @@
 } from '@briarpin/settings';
 import {Result} from 'true-myth';
 
-import {startProcess, type RoleSettings} from './wire.js';
+import type {RoleSettings} from './wire.js';
 
 const EXIT_WRONG_USE = 2;
 const EXIT_FAILED = 1;
 const USAGE = `Usage: briarpind gateway|sidecar --settings FILE
+       briarpind gateway --on-machine
 
   gateway   serves callers
   sidecar   runs the work of the endpoint beside it
 
   --settings FILE   settings, JSON with comments; check them with
                     "briarpin check FILE"
+  --on-machine      forward by the routes in the machine's store; the
+                    platform of the machine writes the settings file
   --help            this text
 
-SIGTERM and SIGINT start a graceful shutdown.
+SIGTERM and SIGINT start a graceful shutdown. SIGHUP reads the settings of a
+machine again.
 `;
 
 await main();
 
 async function main(): Promise<void> {
+  if (process.argv.slice(2).join(' ') === 'gateway --on-machine') {
+    const {runOnMachine} = await import('./run_on_machine.js');
+    await runOnMachine();
+    return;
+  }
   const settings = readCommandLine();
   if (settings === undefined) {
     return;
@@ -104,6 +113,7 @@
 async function run(roleSettings: RoleSettings): Promise<void> {
   const exit = () => process.exit(0);
   try {
+    const {startProcess} = await import('./wire.js');
     const running = await startProcess(roleSettings, exit);
     // Before the line that says so: whoever reads it may send a signal.
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -9,7 +9,7 @@
 import {ByteBudget, RetryBudget} from '@briarpin/scheduling';
 import {splitAddress, type GatewaySettings} from '@briarpin/settings';
 
-import {runTask} from '../concurrency/run_task.js';
+import {runTask} from '@briarpin/telemetry';
 import {addAdministrationService} from '../shared/administration.js';
 import {addConfigurationPeerService} from '../shared/configuration_peer.js';
 import type {ProcessContext} from '../shared/process_context.js';
--- a/packages/daemon/src/gateway/handle_completion.ts
+++ b/packages/daemon/src/gateway/handle_completion.ts
@@ -12,7 +12,7 @@
 } from '@briarpin/messages';
 import {Result} from 'true-myth';
 
-import {runTask} from '../concurrency/run_task.js';
+import {runTask} from '@briarpin/telemetry';
 import {parseJson} from '@briarpin/platform';
 import {createFailure} from '../shared/failures.js';
 import {computeFingerprint} from '../shared/fingerprint.js';
--- a/packages/daemon/src/gateway/handle_request.ts
+++ b/packages/daemon/src/gateway/handle_request.ts
@@ -5,7 +5,7 @@
 
 import type {StatusReply} from '@briarpin/messages';
 
-import {runTask} from '../concurrency/run_task.js';
+import {runTask} from '@briarpin/telemetry';
 import type {GatewayParts} from './gateway_parts.js';
 import {handleCompletion} from './handle_completion.js';
 import {handleServiceCall} from './handle_service_call.js';
--- /dev/null
+++ b/packages/daemon/src/run_on_machine.ts
@@ -0,0 +1,33 @@
+/**
+ * The command line's way to a gateway on a machine.
+ */
+import {readInstanceSettings} from '@briarpin/machines';
+
+import {startMachineGateway} from './wire_machine.js';
+
+const EXIT_WRONG_USE = 2;
+const EXIT_FAILED = 1;
+
+/** Reads the machine's settings, serves, and ends on SIGTERM. */
+export async function runOnMachine(): Promise<void> {
+  const settings = readInstanceSettings(process.env);
+  if (settings.isErr) {
+    const {file, message} = settings.error;
+    process.stderr.write(`${file}: ${message}\n`);
+    process.exitCode = EXIT_WRONG_USE;
+    return;
+  }
+  try {
+    const running = await startMachineGateway(settings.value);
+    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+      process.on(signal, () => {
+        void running.shutDown(signal).then(() => process.exit(0));
+      });
+    }
+    process.on('SIGHUP', () => running.reload());
+    running.logger.info('started', {role: 'gateway', pid: process.pid});
+  } catch (error) {
+    process.stderr.write(`${(error as Error).message}\n`);
+    process.exitCode = EXIT_FAILED;
+  }
+}
--- a/packages/daemon/src/shared/administration.ts
+++ b/packages/daemon/src/shared/administration.ts
@@ -8,7 +8,7 @@
 } from '@briarpin/messages';
 import type {Server} from '@grpc/grpc-js';
 
-import type {HistogramRegistry} from '../metrics/histogram_registry.js';
+import type {HistogramRegistry} from '@briarpin/telemetry';
 
 /** What the service shows and does. */
 export interface AdministrationTarget {
--- a/packages/daemon/src/shared/follow_membership.ts
+++ b/packages/daemon/src/shared/follow_membership.ts
@@ -3,7 +3,7 @@
  */
 import type {Clock, MembershipView} from '@briarpin/coordination';
 
-import type {EventLogger} from '../logging/create_logger.js';
+import type {EventLogger} from '@briarpin/telemetry';
 import {readMembers} from '@briarpin/platform';
 
 /** What {@link followMembership} needs. */
--- a/packages/daemon/src/shared/process_context.ts
+++ b/packages/daemon/src/shared/process_context.ts
@@ -10,8 +10,8 @@
 } from '@briarpin/coordination';
 import type {ChannelCredentials, ServerCredentials} from '@grpc/grpc-js';
 
-import type {EventLogger} from '../logging/create_logger.js';
-import type {HistogramRegistry} from '../metrics/histogram_registry.js';
+import type {EventLogger} from '@briarpin/telemetry';
+import type {HistogramRegistry} from '@briarpin/telemetry';
 
 /** Parts that both roles have; built by the module that wires them. */
 export interface ProcessContext {
--- a/packages/daemon/src/sidecar/model_runner.ts
+++ b/packages/daemon/src/sidecar/model_runner.ts
@@ -22,7 +22,7 @@
   type StartOrder,
 } from '@briarpin/scheduling';
 
-import {runTask} from '../concurrency/run_task.js';
+import {runTask} from '@briarpin/telemetry';
 import type {
   EngineClient,
   EngineStream,
--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -5,7 +5,7 @@
 import {SidecarService, type StatusReply} from '@briarpin/messages';
 import type {SidecarSettings} from '@briarpin/settings';
 
-import {runTask} from '../concurrency/run_task.js';
+import {runTask} from '@briarpin/telemetry';
 import {EngineClient} from '../engine/engine_client.js';
 import {addAdministrationService} from '../shared/administration.js';
 import {addConfigurationPeerService} from '../shared/configuration_peer.js';
--- a/packages/daemon/src/sidecar/sidecar_service.ts
+++ b/packages/daemon/src/sidecar/sidecar_service.ts
@@ -13,7 +13,7 @@
 } from '@briarpin/messages';
 import type {ServerDuplexStream, ServerWritableStream} from '@grpc/grpc-js';
 
-import {runTask} from '../concurrency/run_task.js';
+import {runTask} from '@briarpin/telemetry';
 import {createFailure} from '../shared/failures.js';
 import type {ProcessContext} from '../shared/process_context.js';
 import type {ExchangeService} from './exchange_service.js';
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -11,10 +11,10 @@
 } from '@briarpin/coordination';
 import type {GatewaySettings, SidecarSettings} from '@briarpin/settings';
 
-import {runTask} from './concurrency/run_task.js';
+import {runTask} from '@briarpin/telemetry';
 import {startGateway} from './gateway/gateway.js';
-import {createLogger, type EventLogger} from './logging/create_logger.js';
-import {HistogramRegistry} from './metrics/histogram_registry.js';
+import {createLogger, type EventLogger} from '@briarpin/telemetry';
+import {HistogramRegistry} from '@briarpin/telemetry';
 import {HttpLog} from '@briarpin/platform';
 import {pullUntilReady} from './shared/configuration_peer.js';
 import {followMembership} from './shared/follow_membership.js';
--- /dev/null
+++ b/packages/forwarding/src/choose_placement/choose_placement.ts
@@ -0,0 +1,108 @@
+/**
+ * Where a generation runs, and where its checkpoint is kept.
+ */
+import type {EndpointEntry, EngineProfile} from '@briarpin/coordination';
+import {selectEndpoint} from '@briarpin/scheduling';
+
+import type {EndpointChoice} from '../endpoint_loads/endpoint_loads.js';
+import type {Exchange, ForwardingParts} from '../exchange/exchange.js';
+
+/**
+ * Output from which a generation is checkpointed: shorter ones are over
+ * before an engine that leaves is gone.
+ */
+const CHECKPOINT_MINIMUM_TOKENS = 100;
+
+/** Cost of copying between zones, which takes twice as long. */
+const OTHER_ZONE_COPY_COST_MILLISECONDS = 30;
+
+/** Output that is expected where the caller gives no estimate. */
+const EXPECTED_SHARE_OF_MAXIMUM = 0.5;
+
+/**
+ * Estimates the tokens that a generation still produces.
+ *
+ * @param exchange - The request
+ * @param producedTokens - What it has produced so far
+ */
+export function estimateOutputTokens(
+  {facts}: Exchange,
+  producedTokens = 0,
+): number {
+  const estimate =
+    facts.estimatedOutputTokens ??
+    facts.maximumOutputTokens * EXPECTED_SHARE_OF_MAXIMUM;
+  const bounded =
+    facts.maximumOutputTokens === 0
+      ? estimate
+      : Math.min(estimate, facts.maximumOutputTokens);
+  return Math.max(bounded, producedTokens);
+}
+
+/** Memory that a generation is expected to take at its end, in tokens. */
+export function estimateMemoryTokens(
+  exchange: Exchange,
+  producedTokens = 0,
+): number {
+  return (
+    exchange.facts.promptTokens + estimateOutputTokens(exchange, producedTokens)
+  );
+}
+
+/**
+ * Chooses an engine for a generation.
+ *
+ * @param exchange - The request
+ * @param parts - Parts of the gateway
+ * @param candidates - Engines that may be used
+ * @returns The engine; undefined when there is none
+ */
+export function chooseEngine(
+  exchange: Exchange,
+  parts: ForwardingParts,
+  candidates: readonly EndpointEntry[],
+): EndpointChoice | undefined {
+  return selectEndpoint(parts.loads.describe(candidates, exchange.service), {
+    random: parts.random,
+    neededTokens: estimateMemoryTokens(exchange),
+  });
+}
+
+/**
+ * Chooses the engine that keeps a checkpoint of a generation.
+ *
+ * @param exchange - The request
+ * @param parts - Parts of the gateway
+ * @param source - Engine that runs it
+ * @returns The engine; undefined when a checkpoint does not pay
+ */
+export function chooseCheckpointHolder(
+  exchange: Exchange,
+  parts: ForwardingParts,
+  source: EndpointEntry,
+): EndpointEntry | undefined {
+  const profile: EngineProfile | undefined = exchange.service.engine;
+  if (
+    profile?.supportsCheckpoints !== true ||
+    exchange.route.isResumable ||
+    estimateOutputTokens(exchange) < CHECKPOINT_MINIMUM_TOKENS
+  ) {
+    return undefined;
+  }
+  const candidates = parts.endpoints
+    .findReady(exchange.service.name)
+    .filter(entry => entry.id !== source.id);
+  const states = parts.loads
+    .describe(candidates, exchange.service)
+    .map(state => ({
+      ...state,
+      hopMilliseconds:
+        state.entry.availabilityZone === source.availabilityZone
+          ? 0
+          : OTHER_ZONE_COPY_COST_MILLISECONDS,
+    }));
+  return selectEndpoint(states, {
+    random: parts.random,
+    neededTokens: estimateMemoryTokens(exchange),
+  })?.entry;
+}
--- /dev/null
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -0,0 +1,108 @@
+/**
+ * One request on its way, and what the handlers of requests share.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import type {
+  Clock,
+  EndpointEntry,
+  EndpointRegistry,
+  Route,
+  RoutedOrganisation,
+  RoutedService,
+} from '@briarpin/coordination';
+import type {RetryBudget} from '@briarpin/scheduling';
+import type {EventLogger, HistogramRegistry} from '@briarpin/telemetry';
+
+import type {Dialect, RequestFacts} from '../dialect/dialect.js';
+import type {EndpointClient} from '../endpoint_client/endpoint_client.js';
+import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
+import {sendOwnAnswer, type OwnAnswer} from '../own_answers/own_answers.js';
+
+/** Parts of the gateway that handlers of requests use. */
+export interface ForwardingParts {
+  readonly dialect: Dialect;
+  readonly client: EndpointClient;
+  readonly endpoints: EndpointRegistry;
+  readonly loads: EndpointLoads;
+  /** Second sends by service. */
+  readonly retryBudgets: {
+    readonly find: (service: string) => RetryBudget;
+  };
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly logger: EventLogger;
+  readonly histograms: HistogramRegistry;
+  /** True once the gateway has been told to stop. */
+  readonly isLeaving: () => boolean;
+}
+
+/** One admitted request. */
+export interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly facts: RequestFacts;
+  readonly route: Route;
+  readonly service: RoutedService;
+  readonly organisation?: RoutedOrganisation;
+  readonly body: Buffer;
+  /** Milliseconds of the gateway's clock. */
+  readonly arrivedAt: number;
+  /** When its deadline or the route's timeout ends it, whichever is first. */
+  readonly expiresAt: number;
+  /** Aborted when the caller leaves or the time is over. */
+  readonly signal: AbortSignal;
+  /** Endpoints that it was sent to. */
+  readonly tried: string[];
+}
+
+/** How a request ended, for logs and histograms. */
+export interface ExchangeEnd {
+  readonly outcome: 'done' | 'not_run' | 'unknown' | 'left' | 'rejected';
+  readonly status: number;
+  readonly reason?: string;
+  /** Time to the answer or to the first event. */
+  readonly firstMilliseconds?: number;
+}
+
+/** Milliseconds until the exchange expires; 0 when it has. */
+export function remainingMilliseconds(
+  exchange: Exchange,
+  clock: Clock,
+): number {
+  return Math.max(0, exchange.expiresAt - clock.now());
+}
+
+/** Endpoints of the service that take work and were not tried. */
+export function findUntried(
+  exchange: Exchange,
+  parts: ForwardingParts,
+): EndpointEntry[] {
+  return parts.endpoints
+    .findReady(exchange.service.name)
+    .filter(entry => !exchange.tried.includes(entry.id));
+}
+
+/**
+ * Answers an exchange in place of an endpoint.
+ *
+ * @returns How it ended
+ */
+export function answerExchange(
+  exchange: Exchange,
+  parts: ForwardingParts,
+  answer: OwnAnswer,
+): ExchangeEnd {
+  const {response} = exchange;
+  if (!response.headersSent && !response.destroyed) {
+    sendOwnAnswer(response, answer, {
+      dialect: parts.dialect,
+      closeConnection: parts.isLeaving(),
+    });
+  }
+  return {
+    outcome: answer.kind === 'not_run' ? 'not_run' : 'unknown',
+    status: response.statusCode,
+    reason: answer.reason,
+  };
+}
--- /dev/null
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -0,0 +1,216 @@
+/**
+ * Forwarding calls whose answer is one body.
+ */
+import {decideRetry, selectEndpoint} from '@briarpin/scheduling';
+
+import {
+  gatherBody,
+  type Attempt,
+  type AttemptResult,
+} from '../endpoint_client/endpoint_client.js';
+import type {EndpointChoice} from '../endpoint_loads/endpoint_loads.js';
+import {
+  answerExchange,
+  findUntried,
+  remainingMilliseconds,
+  type Exchange,
+  type ExchangeEnd,
+  type ForwardingParts,
+} from '../exchange/exchange.js';
+
+/**
+ * When a caller may come back whose request found no room: a few times the
+ * work of a call.
+ */
+const CROWDED_RETRY_MILLISECONDS = 150;
+
+/** Status of an endpoint's own failure. */
+const FIRST_FAILURE_STATUS = 500;
+
+/** What an attempt came to, its body included. */
+type CallResult =
+  | {
+      readonly kind: 'whole';
+      readonly status: number;
+      readonly headers: string[];
+      readonly body: Buffer;
+    }
+  | {readonly kind: 'not_run'; readonly wasSent: boolean; reason: string}
+  | {readonly kind: 'unknown'; readonly reason: string};
+
+/**
+ * Forwards a call, to a second endpoint where that is allowed.
+ *
+ * @param exchange - The request
+ * @param parts - Parts of the gateway
+ * @returns How it ended
+ */
+export async function forwardCall(
+  exchange: Exchange,
+  parts: ForwardingParts,
+): Promise<ExchangeEnd> {
+  const budget = parts.retryBudgets.find(exchange.service.name);
+  budget.noteFirstAttempt();
+  let sends = 0;
+  let mayHaveRun = false;
+  let failure: CallResult | undefined;
+  for (;;) {
+    const choice = choose(exchange, parts);
+    if (choice === undefined) {
+      break;
+    }
+    exchange.tried.push(choice.id);
+    const result = await call(exchange, parts, choice);
+    if (exchange.response.destroyed) {
+      return {outcome: 'left', status: 0};
+    }
+    if (isGood(result)) {
+      return deliver(exchange, parts, result);
+    }
+    failure = result;
+    sends += result.kind === 'not_run' && !result.wasSent ? 0 : 1;
+    mayHaveRun ||= result.kind !== 'not_run';
+    const mayRetry =
+      sends < exchange.route.maximumAttempts &&
+      decideRetry({
+        notRun: result.kind === 'not_run',
+        idempotent: exchange.route.repeatability === 'idempotent',
+        delivered: false,
+        remainingMilliseconds: remainingMilliseconds(exchange, parts.clock),
+        untriedEndpoints: findUntried(exchange, parts).length,
+      });
+    if (!mayRetry || (sends > 0 && !budget.tryTake())) {
+      break;
+    }
+  }
+  return conclude(exchange, parts, failure, mayHaveRun);
+}
+
+function choose(
+  exchange: Exchange,
+  parts: ForwardingParts,
+): EndpointChoice | undefined {
+  const entries = findUntried(exchange, parts);
+  return selectEndpoint(parts.loads.describe(entries, exchange.service), {
+    random: parts.random,
+    neededTokens: 0,
+  });
+}
+
+function isGood(result: CallResult): result is CallResult & {kind: 'whole'} {
+  return result.kind === 'whole' && result.status < FIRST_FAILURE_STATUS;
+}
+
+async function call(
+  exchange: Exchange,
+  parts: ForwardingParts,
+  {entry}: EndpointChoice,
+): Promise<CallResult> {
+  const {loads, clock} = parts;
+  const sentAt = clock.now();
+  loads.add(entry.id, 1, 0);
+  try {
+    const attempt = await parts.client.send(
+      createAttempt(exchange, parts, entry),
+    );
+    const result = await readResult(attempt);
+    const failed = !isGood(result);
+    loads.note(entry.id, failed, failed ? undefined : clock.now() - sentAt);
+    return result;
+  } finally {
+    loads.add(entry.id, -1, 0);
+  }
+}
+
+function createAttempt(
+  exchange: Exchange,
+  parts: ForwardingParts,
+  endpoint: EndpointChoice['entry'],
+): Attempt {
+  const {request, body, facts} = exchange;
+  return {
+    endpoint,
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    headers: parts.dialect.writeAttempt(request.rawHeaders, body.length, {
+      endpointId: endpoint.id,
+      remainingMilliseconds: remainingMilliseconds(exchange, parts.clock),
+      organisation: exchange.organisation?.name,
+    }),
+    body,
+    requestId: facts.requestId,
+    // A reset of a used connection cannot be told from a run.
+    mayReuseConnection: exchange.route.repeatability === 'idempotent',
+    signal: exchange.signal,
+  };
+}
+
+async function readResult(attempt: AttemptResult): Promise<CallResult> {
+  switch (attempt.kind) {
+    case 'not_sent':
+      return {kind: 'not_run', wasSent: false, reason: attempt.reason};
+    case 'refused':
+      return {
+        kind: 'not_run',
+        wasSent: true,
+        reason: `the endpoint refused it with ${attempt.status}`,
+      };
+    case 'unknown':
+      return attempt;
+    case 'answered': {
+      const {response, facts} = attempt;
+      const status = response.statusCode ?? 0;
+      const gathered = await gatherBody(response);
+      if (gathered.kind === 'broken') {
+        return {kind: 'unknown', reason: gathered.reason};
+      }
+      if (!facts.isSigned) {
+        return {kind: 'unknown', reason: 'the answer bears no signature'};
+      }
+      const {rawHeaders} = response;
+      return {kind: 'whole', status, headers: rawHeaders, body: gathered.body};
+    }
+  }
+}
+
+function deliver(
+  exchange: Exchange,
+  parts: ForwardingParts,
+  result: CallResult & {kind: 'whole'},
+): ExchangeEnd {
+  const {response} = exchange;
+  const headers = parts.dialect.writeAnswer(result.headers);
+  headers.push('Content-Length', String(result.body.length));
+  if (parts.isLeaving()) {
+    headers.push('Connection', 'close');
+  }
+  response.writeHead(result.status, headers);
+  response.end(result.body);
+  const firstMilliseconds = parts.clock.now() - exchange.arrivedAt;
+  return {outcome: 'done', status: result.status, firstMilliseconds};
+}
+
+/** Ends a call that no endpoint has answered well. */
+function conclude(
+  exchange: Exchange,
+  parts: ForwardingParts,
+  failure: CallResult | undefined,
+  mayHaveRun: boolean,
+): ExchangeEnd {
+  if (failure?.kind === 'whole') {
+    return deliver(exchange, parts, failure);
+  }
+  const reason = failure?.reason ?? 'no endpoint takes work';
+  if (!mayHaveRun) {
+    return answerExchange(exchange, parts, {
+      kind: 'not_run',
+      reason,
+      retryAfterMilliseconds: CROWDED_RETRY_MILLISECONDS,
+    });
+  }
+  const isOver = remainingMilliseconds(exchange, parts.clock) === 0;
+  return answerExchange(exchange, parts, {
+    kind: isOver ? 'timed_out' : 'unknown',
+    reason,
+  });
+}
--- /dev/null
+++ b/packages/forwarding/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * Forwarding requests by route, unchanged, to endpoints that come and go.
+ */
+export * from './admit_request/admit_request.js';
+export * from './dialect/dialect.js';
+export * from './endpoint_client/endpoint_client.js';
+export * from './endpoint_loads/endpoint_loads.js';
+export * from './event_splitter/event_splitter.js';
+export * from './exchange/exchange.js';
+export * from './forwarding_gateway/forwarding_gateway.js';
+export * from './own_answers/own_answers.js';
+export * from './stream_session/stream_session.js';
--- /dev/null
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -0,0 +1,408 @@
+/**
+ * One stream to a caller, over all endpoints that produce a part of it.
+ */
+import type {IncomingMessage} from 'node:http';
+
+import type {EndpointEntry} from '@briarpin/coordination';
+import {decideRetry} from '@briarpin/scheduling';
+
+import {
+  chooseCheckpointHolder,
+  chooseEngine,
+  estimateMemoryTokens,
+} from '../choose_placement/choose_placement.js';
+import type {MemorySource} from '../dialect/dialect.js';
+import {
+  gatherBody,
+  type AttemptResult,
+} from '../endpoint_client/endpoint_client.js';
+import type {WholeEvent} from '../event_splitter/event_splitter.js';
+import {
+  answerExchange,
+  findUntried,
+  remainingMilliseconds,
+  type Exchange,
+  type ExchangeEnd,
+  type ForwardingParts,
+} from '../exchange/exchange.js';
+import {StreamLeg, type LegEnd} from '../stream_leg/stream_leg.js';
+
+/** When a caller may come back whose generation found no room. */
+const CROWDED_RETRY_MILLISECONDS = 500;
+
+/** Statuses of an answer that holds a stream. */
+const FIRST_SUCCESS_STATUS = 200;
+const LAST_SUCCESS_STATUS = 299;
+
+/** A copy of the run's memory that the next endpoint goes on from. */
+interface Continuation {
+  readonly endpoint: EndpointEntry;
+  readonly memorySource?: MemorySource;
+}
+
+/** What opening a leg came to. */
+type Opened =
+  | {readonly kind: 'leg'; readonly leg: StreamLeg}
+  | {
+      readonly kind: 'failed';
+      readonly reason: string;
+      readonly mayHaveRun: boolean;
+      readonly wasSent: boolean;
+    }
+  | {
+      readonly kind: 'failure_answer';
+      readonly status: number;
+      readonly headers: string[];
+      readonly body: Buffer;
+    };
+
+/**
+ * Serves a stream of events.
+ *
+ * Events reach the caller as they come, each whole. A stream that breaks goes
+ * on where a checkpoint of the run is kept, or as a new run where the route
+ * allows that; otherwise the connection ends, so that the answer does not
+ * look complete.
+ */
+export class StreamSession {
+  private leg: StreamLeg | undefined;
+  private lastEventId: string | undefined;
+  private events = 0;
+  private firstMilliseconds: number | undefined;
+  private sends = 0;
+  private moves = 0;
+
+  /**
+   * @param exchange - The request
+   * @param parts - Parts of the gateway
+   */
+  constructor(
+    private readonly exchange: Exchange,
+    private readonly parts: ForwardingParts,
+  ) {}
+
+  /** Endpoint that produces the stream now. */
+  get endpointId(): string | undefined {
+    return this.leg?.endpoint.id;
+  }
+
+  /**
+   * Serves the stream to its end.
+   *
+   * @returns How it ended
+   */
+  async run(): Promise<ExchangeEnd> {
+    const budget = this.parts.retryBudgets.find(this.exchange.service.name);
+    budget.noteFirstAttempt();
+    let opened = await this.openFirst();
+    for (;;) {
+      if (opened.kind === 'failure_answer') {
+        return this.deliverFailure(opened);
+      }
+      if (opened.kind === 'failed') {
+        return this.conclude(opened);
+      }
+      const {leg} = opened;
+      this.leg = leg;
+      const end = await leg.run();
+      this.leg = undefined;
+      this.release(leg);
+      if (end.kind === 'complete') {
+        return this.complete(end.remainder);
+      }
+      if (this.exchange.signal.aborted) {
+        const reason = 'the caller left or the time is over';
+        return this.conclude({
+          kind: 'failed',
+          reason,
+          mayHaveRun: true,
+          wasSent: true,
+        });
+      }
+      opened = await this.openNext(leg, end);
+    }
+  }
+
+  /** Takes the notice that the endpoint of the stream is leaving. */
+  onEndpointLeaving(endpointId: string): void {
+    const {leg} = this;
+    if (leg === undefined || leg.endpoint.id !== endpointId) {
+      return;
+    }
+    if (this.events > 0 && this.findCheckpoint(leg) !== undefined) {
+      this.moves += 1;
+      leg.stop('the engine is leaving');
+    }
+  }
+
+  private async openFirst(): Promise<Opened> {
+    const {exchange, parts} = this;
+    let failure: Opened = {
+      kind: 'failed',
+      reason: 'no engine takes work',
+      mayHaveRun: false,
+      wasSent: false,
+    };
+    for (;;) {
+      const candidates = findUntried(exchange, parts);
+      const engine = chooseEngine(exchange, parts, candidates);
+      if (engine === undefined) {
+        return failure;
+      }
+      exchange.tried.push(engine.id);
+      const opened = await this.open({endpoint: engine.entry});
+      if (opened.kind === 'leg' || exchange.signal.aborted) {
+        return opened;
+      }
+      failure = opened;
+      if (!this.mayRetry(opened)) {
+        return opened;
+      }
+    }
+  }
+
+  private mayRetry(opened: Opened): boolean {
+    const {exchange, parts} = this;
+    const wasSent = opened.kind !== 'failed' || opened.wasSent;
+    const allowed =
+      this.sends < exchange.route.maximumAttempts &&
+      decideRetry({
+        notRun: opened.kind === 'failed' && !opened.mayHaveRun,
+        idempotent: exchange.route.isResumable,
+        delivered: false,
+        remainingMilliseconds: remainingMilliseconds(exchange, parts.clock),
+        untriedEndpoints: findUntried(exchange, parts).length,
+      });
+    const budget = parts.retryBudgets.find(exchange.service.name);
+    return allowed && (!wasSent || budget.tryTake());
+  }
+
+  /** Goes on after a leg that broke. */
+  private async openNext(leg: StreamLeg, end: LegEnd): Promise<Opened> {
+    const reason = end.kind === 'broken' ? end.reason : end.kind;
+    const failed: Opened = {
+      kind: 'failed',
+      reason,
+      mayHaveRun: true,
+      wasSent: true,
+    };
+    this.parts.logger.info('stream_broke', {
+      request: this.exchange.facts.requestId,
+      endpoint: leg.endpoint.id,
+      reason,
+      events: this.events,
+      checkpoint: leg.checkpointHolder?.id,
+    });
+    const checkpoint = this.events > 0 ? this.findCheckpoint(leg) : undefined;
+    if (checkpoint !== undefined) {
+      const opened = await this.open(checkpoint);
+      this.parts.logger.info('stream_continued', {
+        request: this.exchange.facts.requestId,
+        endpoint: checkpoint.endpoint.id,
+        outcome: opened.kind,
+        reason: opened.kind === 'failed' ? opened.reason : undefined,
+      });
+      if (opened.kind === 'leg') {
+        return opened;
+      }
+    }
+    if (this.exchange.route.isResumable && this.mayRetry(failed)) {
+      return this.openFirst();
+    }
+    return failed;
+  }
+
+  private findCheckpoint(leg: StreamLeg): Continuation | undefined {
+    const {requestId} = this.exchange.facts;
+    const holder = leg.checkpointHolder;
+    if (holder === undefined || requestId === undefined) {
+      return undefined;
+    }
+    const endpoint = this.parts.endpoints.find(holder.id);
+    if (endpoint?.state !== 'ready') {
+      return undefined;
+    }
+    const {host, port} = endpoint;
+    return {endpoint, memorySource: {host, port, handle: requestId}};
+  }
+
+  private async open(continuation: Continuation): Promise<Opened> {
+    const {exchange, parts} = this;
+    const {endpoint} = continuation;
+    const controller = new AbortController();
+    const holder = chooseCheckpointHolder(exchange, parts, endpoint);
+    const memoryTokens = estimateMemoryTokens(exchange);
+    parts.loads.add(endpoint.id, 1, memoryTokens);
+    if (holder !== undefined) {
+      parts.loads.add(holder.id, 0, memoryTokens);
+    }
+    const result = await parts.client.send({
+      endpoint,
+      method: exchange.request.method ?? 'POST',
+      path: exchange.request.url ?? '/',
+      headers: parts.dialect.writeAttempt(
+        exchange.request.rawHeaders,
+        exchange.body.length,
+        {
+          endpointId: endpoint.id,
+          remainingMilliseconds: remainingMilliseconds(exchange, parts.clock),
+          organisation: exchange.organisation?.name,
+          checkpointAt: holder,
+          lastEventId: this.lastEventId,
+          memorySource: continuation.memorySource,
+        },
+      ),
+      body: exchange.body,
+      requestId: exchange.facts.requestId,
+      mayReuseConnection: false,
+      signal: AbortSignal.any([exchange.signal, controller.signal]),
+    });
+    this.sends += result.kind === 'not_sent' ? 0 : 1;
+    if (isStream(result)) {
+      const leg = new StreamLeg({
+        endpoint,
+        response: result.response,
+        abort: () => controller.abort(),
+        checkpointHolder: holder,
+        memoryTokens,
+        onEvent: event => this.forward(event, result.response),
+      });
+      return {kind: 'leg', leg};
+    }
+    this.releaseMemory(endpoint, holder, memoryTokens);
+    return readFailure(result);
+  }
+
+  private release(leg: StreamLeg): void {
+    this.releaseMemory(leg.endpoint, leg.checkpointHolder, leg.memoryTokens);
+  }
+
+  private releaseMemory(
+    endpoint: EndpointEntry,
+    holder: EndpointEntry | undefined,
+    tokens: number,
+  ): void {
+    this.parts.loads.add(endpoint.id, -1, -tokens);
+    if (holder !== undefined) {
+      this.parts.loads.add(holder.id, 0, -tokens);
+    }
+  }
+
+  private forward(
+    event: WholeEvent,
+    from: IncomingMessage,
+  ): Promise<void> | undefined {
+    const {response} = this.exchange;
+    if (response.destroyed) {
+      return undefined;
+    }
+    this.writeHead(from);
+    this.events += 1;
+    this.lastEventId = event.id ?? this.lastEventId;
+    if (response.write(event.bytes)) {
+      return undefined;
+    }
+    return new Promise(resolve => {
+      response.once('drain', resolve);
+      response.once('close', resolve);
+    });
+  }
+
+  /** The head of the first endpoint is the head of the answer. */
+  private writeHead(from: IncomingMessage): void {
+    const {response, arrivedAt} = this.exchange;
+    if (response.headersSent) {
+      return;
+    }
+    this.firstMilliseconds = this.parts.clock.now() - arrivedAt;
+    const headers = this.parts.dialect.writeAnswer(from.rawHeaders);
+    if (this.parts.isLeaving()) {
+      headers.push('Connection', 'close');
+    }
+    response.writeHead(from.statusCode ?? FIRST_SUCCESS_STATUS, headers);
+  }
+
+  private complete(remainder: Buffer): ExchangeEnd {
+    const {response} = this.exchange;
+    response.end(remainder);
+    return {
+      outcome: 'done',
+      status: response.statusCode,
+      firstMilliseconds: this.firstMilliseconds,
+      reason: this.moves > 0 ? `moved ${this.moves} times` : undefined,
+    };
+  }
+
+  private deliverFailure(
+    failure: Opened & {kind: 'failure_answer'},
+  ): ExchangeEnd {
+    const {response} = this.exchange;
+    const headers = this.parts.dialect.writeAnswer(failure.headers);
+    headers.push('Content-Length', String(failure.body.length));
+    response.writeHead(failure.status, headers);
+    response.end(failure.body);
+    return {outcome: 'done', status: failure.status};
+  }
+
+  private conclude(failure: Opened & {kind: 'failed'}): ExchangeEnd {
+    const {exchange, parts} = this;
+    const {response} = exchange;
+    const {reason} = failure;
+    if (response.headersSent) {
+      response.destroy();
+      return {outcome: 'unknown', status: response.statusCode, reason};
+    }
+    if (response.destroyed) {
+      return {outcome: 'left', status: 0, reason};
+    }
+    if (!failure.mayHaveRun) {
+      return answerExchange(exchange, parts, {
+        kind: 'not_run',
+        reason,
+        retryAfterMilliseconds: CROWDED_RETRY_MILLISECONDS,
+      });
+    }
+    const isOver = remainingMilliseconds(exchange, parts.clock) === 0;
+    return answerExchange(exchange, parts, {
+      kind: isOver ? 'timed_out' : 'unknown',
+      reason,
+    });
+  }
+}
+
+function isStream(
+  result: AttemptResult,
+): result is AttemptResult & {kind: 'answered'} {
+  if (result.kind !== 'answered' || !result.facts.isSigned) {
+    return false;
+  }
+  const status = result.response.statusCode ?? 0;
+  return status >= FIRST_SUCCESS_STATUS && status <= LAST_SUCCESS_STATUS;
+}
+
+async function readFailure(result: AttemptResult): Promise<Opened> {
+  switch (result.kind) {
+    case 'not_sent':
+    case 'unknown':
+    case 'refused': {
+      const mayHaveRun = result.kind === 'unknown';
+      const wasSent = result.kind !== 'not_sent';
+      const reason =
+        result.kind === 'refused'
+          ? `the engine refused it with ${result.status}`
+          : result.reason;
+      return {kind: 'failed', reason, mayHaveRun, wasSent};
+    }
+    case 'answered': {
+      const {response, facts} = result;
+      const status = response.statusCode ?? 0;
+      const gathered = await gatherBody(response);
+      if (gathered.kind === 'broken' || !facts.isSigned) {
+        const reason = `a broken answer with status ${status}`;
+        return {kind: 'failed', reason, mayHaveRun: true, wasSent: true};
+      }
+      const {rawHeaders: headers} = response;
+      return {kind: 'failure_answer', status, headers, body: gathered.body};
+    }
+  }
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -15,6 +15,7 @@
 export * from './peak_predictor/peak_predictor.js';
 export * from './request/request.js';
 export * from './retry_budget/retry_budget.js';
+export * from './select_endpoint/select_endpoint.js';
 export * from './throughput_meter/throughput_meter.js';
 export * from './urgent_allowance/urgent_allowance.js';
 export * from './constants.js';
--- /dev/null
+++ b/packages/scheduling/src/select_endpoint/select_endpoint.ts
@@ -0,0 +1,94 @@
+/**
+ * Which endpoint takes a request, where every gateway sees all open work.
+ */
+
+/** An endpoint as a gateway sees it. */
+export interface EndpointState {
+  readonly id: string;
+  /** Requests that are open there, those of other gateways included. */
+  readonly open: number;
+  /** Requests that it runs at once. */
+  readonly slots: number;
+  /** Memory taken by open generations and copies, in tokens. */
+  readonly usedTokens: number;
+  /** Memory of an engine, in tokens; infinite for plain services. */
+  readonly memoryTokens: number;
+  /** Time to reach it and back, in milliseconds. */
+  readonly hopMilliseconds: number;
+  /** Part of its recent answers that were failures, 0 to 1. */
+  readonly failureShare: number;
+  /** Recent time to an answer, or to the first event, in milliseconds. */
+  readonly latencyMilliseconds: number;
+}
+
+/** Options of {@link selectEndpoint}. */
+export interface SelectEndpointOptions {
+  /** Source of numbers in [0, 1). */
+  readonly random: () => number;
+  /** Memory that the request is expected to take, in tokens. */
+  readonly neededTokens: number;
+}
+
+/** Part of an engine's memory above which generations are preempted soon. */
+const CROWDED_MEMORY_SHARE = 0.85;
+
+/** Cost of filling an empty engine's memory, in milliseconds of latency. */
+const MEMORY_COST_MILLISECONDS = 120;
+
+/** Cost of one memory beyond the crowded share; a preemption stalls seconds. */
+const PREEMPTION_COST_MILLISECONDS = 5_000;
+
+/** Cost of filling all slots: steps of a full batch take about this longer. */
+const BATCH_COST_MILLISECONDS = 40;
+
+/** Cost of a certain failure: about the time that a retry takes. */
+const FAILURE_COST_MILLISECONDS = 400;
+
+/** Costs closer than this are drawn by lot, so that gateways do not herd. */
+const TIE_MILLISECONDS = 8;
+
+/**
+ * Selects the endpoint with the smallest expected cost.
+ *
+ * The cost is a time: the hop, the queue ahead, the slowing by a larger batch,
+ * and the risk of a preemption or of a failed attempt.
+ *
+ * @param candidates - Endpoints that may be used
+ * @param options - Source of randomness and size of the request
+ * @returns The endpoint; undefined when there is no candidate
+ *
+ * @example
+ * selectEndpoint(candidates, {random: Math.random, neededTokens: 4_000});
+ */
+export function selectEndpoint<T extends EndpointState>(
+  candidates: readonly T[],
+  options: SelectEndpointOptions,
+): T | undefined {
+  let best: T | undefined;
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const candidate of candidates) {
+    const cost =
+      estimateCost(candidate, options.neededTokens) +
+      options.random() * TIE_MILLISECONDS;
+    if (cost < bestCost) {
+      best = candidate;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+function estimateCost(candidate: EndpointState, neededTokens: number): number {
+  const queued = Math.max(0, candidate.open + 1 - candidate.slots);
+  const batch = Math.min(1, candidate.open / candidate.slots);
+  const memory = (candidate.usedTokens + neededTokens) / candidate.memoryTokens;
+  return (
+    candidate.hopMilliseconds +
+    candidate.latencyMilliseconds * (queued / candidate.slots) +
+    candidate.latencyMilliseconds +
+    batch * BATCH_COST_MILLISECONDS +
+    memory * MEMORY_COST_MILLISECONDS +
+    Math.max(0, memory - CROWDED_MEMORY_SHARE) * PREEMPTION_COST_MILLISECONDS +
+    candidate.failureShare * FAILURE_COST_MILLISECONDS
+  );
+}
--- a/packages/stand_ins/src/slopes/decision_slopes.ts
+++ b/packages/stand_ins/src/slopes/decision_slopes.ts
@@ -8,7 +8,7 @@
   selectEndpointSubset,
   selectLogPollers,
 } from '@briarpin/coordination';
-import {HistogramRegistry} from '@briarpin/daemon/metrics';
+import {HistogramRegistry} from '@briarpin/telemetry';
 import type {Member} from '@briarpin/messages';
 import {
   chooseEndpoint,
--- a/packages/daemon/src/concurrency/run_task.ts
+++ b/packages/telemetry/src/run_task/run_task.ts
@@ -1,7 +1,7 @@
 /**
  * Tasks that run beside the one who starts them.
  */
-import type {EventLogger} from '../logging/create_logger.js';
+import type {EventLogger} from '../create_logger/create_logger.js';
 
 /**
  * Runs a task in the background.
--- a/tools/check_generated.js
+++ b/tools/check_generated.js
@@ -6,7 +6,13 @@
 execFileSync('npm', ['run', 'generate'], {stdio: 'inherit'});
 const changed = execFileSync(
   'git',
-  ['status', '--porcelain', '--', ':(glob)packages/*/src/generated/**'],
+  [
+    'status',
+    '--porcelain',
+    '--',
+    ':(glob)packages/*/src/generated/**',
+    'platform/src/generated',
+  ],
   {encoding: 'utf8'},
 );
 if (changed !== '') {
--- a/tools/generate_validators.js
+++ b/tools/generate_validators.js
@@ -11,12 +11,16 @@
 import standalone from 'ajv/dist/standalone/index.js';
 import {compile} from 'json-schema-to-typescript';
 
-const PACKAGES_WITH_SCHEMAS = ['messages', 'settings'];
+const FOLDERS_WITH_SCHEMAS = [
+  'packages/messages',
+  'packages/settings',
+  'platform',
+];
 const HEADING = '// Generated from a JSON Schema. Do not edit.\n';
 
-const packagesFolder = fileURLToPath(new URL('../packages', import.meta.url));
-for (const packageName of PACKAGES_WITH_SCHEMAS) {
-  await generatePackage(join(packagesFolder, packageName));
+const rootFolder = fileURLToPath(new URL('..', import.meta.url));
+for (const folder of FOLDERS_WITH_SCHEMAS) {
+  await generatePackage(join(rootFolder, folder));
 }
 
 /** Generates one module for each schema of a package. */
