Move running generations off engines that leave, one gateway after another

Change: copy while the run goes on, then stop it for the last copy; targets in the zone of the source; gateways tell one another by datagrams what they have open, and go one after another in rendezvous order. Checkpoints stay switched off until there is memory for them.

--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -49,3 +49,9 @@
 
 /** Heartbeats of silence after which the store may drop an entry. */
 export const HEARTBEATS_UNTIL_LAPSE = 2;
+
+/**
+ * Time between two registrations of a process: several a time for which a
+ * silent peer is still told news.
+ */
+export const REGISTRATION_INTERVAL_MILLISECONDS = 10_000;
--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -34,6 +34,8 @@
   readonly now: () => number;
   /** Told once when an endpoint begins to leave or is gone. */
   readonly onLeaving: (entry: EndpointEntry, reason: LeavingReason) => void;
+  /** Told once when an endpoint that was not known takes work. */
+  readonly onReady?: (entry: EndpointEntry) => void;
 }
 
 interface Known {
@@ -95,6 +97,9 @@
     if (entry.state === 'draining' && before?.state !== 'draining') {
       this.options.onLeaving(entry, 'draining');
     }
+    if (entry.state === 'ready' && before?.startedAt !== entry.startedAt) {
+      this.options.onReady?.(entry);
+    }
   }
 
   /** Takes the removal of an entry. */
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -13,6 +13,7 @@
 export * from './follow_keyed_topic/follow_keyed_topic.js';
 export * from './follow_log/follow_log.js';
 export * from './in_memory_log/in_memory_log.js';
+export * from './keep_registered/keep_registered.js';
 export * from './membership_view/membership_view.js';
 export * from './publish_change/publish_change.js';
 export * from './rank_by_rendezvous/rank_by_rendezvous.js';
--- a/packages/daemon/src/briarpind.ts
+++ b/packages/daemon/src/briarpind.ts
@@ -38,7 +38,7 @@
 
 async function main(): Promise<void> {
   if (process.argv.slice(2).join(' ') === 'gateway --on-machine') {
-    const {runOnMachine} = await import('./run_on_machine.js');
+    const {runOnMachine} = await import('./machine/run_on_machine.js');
     await runOnMachine();
     return;
   }
--- /dev/null
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -0,0 +1,221 @@
+/**
+ * Keeping up with what operators, endpoints and gateways write to the store.
+ */
+import {
+  followKeyedTopic,
+  type Clock,
+  type ContactGuard,
+  type EndpointEntry,
+  type EndpointRegistry,
+  type FollowKeyedTopicOptions,
+  type KeyedRecord,
+  type KeyedTopicStore,
+  type RoutingConfiguration,
+} from '@briarpin/coordination';
+import {
+  CONFIGURATION_KEY,
+  decodeEndpoint,
+  decodeRouting,
+  ENDPOINTS_TOPIC,
+  OPERATORS_TOPIC,
+} from '@briarpin/machines';
+import {validateGatewayRegistration} from '@briarpin/messages';
+import {parseJson} from '@briarpin/platform';
+import type {GatewayPeer} from '@briarpin/forwarding';
+import {runTask, type EventLogger} from '@briarpin/telemetry';
+
+/** Topic in which gateways tell where they take news of one another. */
+export const GATEWAYS_TOPIC = 'keyed.gateways';
+
+/**
+ * How long the store holds a read of the configuration. Each answer confirms
+ * that no key was revoked, so it is a fraction of the time for which keys may
+ * be used without news.
+ */
+const CONFIGURATION_POLL_MILLISECONDS = 700;
+
+/** How long the store holds a read of endpoints. */
+const ENDPOINTS_POLL_MILLISECONDS = 2_000;
+
+/** How long the store holds a read of gateways; nothing waits for them. */
+const GATEWAYS_POLL_MILLISECONDS = 15_000;
+
+/**
+ * Pause after records of endpoints, so that one read gathers several: a small
+ * part of the notice with which endpoints leave.
+ */
+const ENDPOINTS_GATHER_MILLISECONDS = 60;
+
+/** What is known from the store. */
+export interface StoreKnowledge {
+  configuration?: RoutingConfiguration;
+  hasEndpoints: boolean;
+}
+
+/** What {@link followStore} needs. */
+export interface FollowStoreOptions {
+  readonly store: KeyedTopicStore;
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly logger: EventLogger;
+  readonly signal: AbortSignal;
+  readonly known: StoreKnowledge;
+  /** Told of each answer about the configuration. */
+  readonly guard: ContactGuard;
+  readonly endpoints: EndpointRegistry;
+  readonly onConfiguration: (configuration: RoutingConfiguration) => void;
+  readonly onGateways: (gateways: readonly GatewayPeer[]) => void;
+}
+
+type TopicOptions = Pick<
+  FollowKeyedTopicOptions,
+  | 'onSnapshot'
+  | 'onRecords'
+  | 'onRead'
+  | 'gatherMilliseconds'
+  | 'longPollMilliseconds'
+>;
+
+/** Follows all topics in the background until the signal ends it. */
+export function followStore(options: FollowStoreOptions): void {
+  const follow = (topic: string, topicOptions: TopicOptions) => {
+    const {store, clock, random, signal, logger} = options;
+    const onFailure = (error: {message: string}) =>
+      logger.warn('store_read_failed', {topic, message: error.message});
+    runTask(topic, logger, () =>
+      followKeyedTopic(topic, {
+        store,
+        clock,
+        random,
+        signal,
+        onFailure,
+        ...topicOptions,
+      }),
+    );
+  };
+  follow(OPERATORS_TOPIC, followConfiguration(options));
+  follow(ENDPOINTS_TOPIC, followEndpoints(options));
+  follow(GATEWAYS_TOPIC, followGateways(options));
+}
+
+function followConfiguration(options: FollowStoreOptions): TopicOptions {
+  const {guard} = options;
+  const take = (records: readonly KeyedRecord[]) =>
+    records.forEach(record => applyConfiguration(record, options));
+  return {
+    longPollMilliseconds: CONFIGURATION_POLL_MILLISECONDS,
+    gatherMilliseconds: 0,
+    onSnapshot: take,
+    onRecords: take,
+    onRead: () => {
+      const sentAt = guard.mark();
+      return () => guard.confirm(sentAt);
+    },
+  };
+}
+
+/** Puts a configuration in force; an older one never replaces a newer one. */
+function applyConfiguration(
+  {key, value}: KeyedRecord,
+  {known, logger, onConfiguration}: FollowStoreOptions,
+): void {
+  if (key !== CONFIGURATION_KEY || value === undefined) {
+    return;
+  }
+  const configuration = decodeRouting(value);
+  if (configuration === undefined) {
+    logger.warn('configuration_broken', {bytes: value.length});
+    return;
+  }
+  const before = known.configuration?.version ?? Number.NEGATIVE_INFINITY;
+  if (configuration.version <= before) {
+    return;
+  }
+  known.configuration = configuration;
+  logger.info('configuration', {
+    version: configuration.version,
+    routes: configuration.routes.length,
+  });
+  onConfiguration(configuration);
+}
+
+function followEndpoints(options: FollowStoreOptions): TopicOptions {
+  const {endpoints, known} = options;
+  return {
+    longPollMilliseconds: ENDPOINTS_POLL_MILLISECONDS,
+    gatherMilliseconds: ENDPOINTS_GATHER_MILLISECONDS,
+    onSnapshot: records => {
+      endpoints.noteContact();
+      const entries = records.map(record => decode(record, options));
+      endpoints.replaceAll(entries.filter(entry => entry !== undefined));
+      known.hasEndpoints = true;
+    },
+    onRecords: records => {
+      endpoints.noteContact();
+      records.forEach(record => applyEndpoint(record, options));
+      endpoints.expire();
+    },
+    onRead: () => () => undefined,
+  };
+}
+
+function applyEndpoint(record: KeyedRecord, options: FollowStoreOptions): void {
+  const entry =
+    record.value === undefined ? undefined : decode(record, options);
+  if (entry === undefined) {
+    options.endpoints.remove(record.key);
+  } else {
+    options.endpoints.put(entry);
+  }
+}
+
+function decode(
+  record: KeyedRecord,
+  {logger}: FollowStoreOptions,
+): EndpointEntry | undefined {
+  const entry = decodeEndpoint(record);
+  if (entry === undefined) {
+    logger.warn('endpoint_entry_broken', {
+      key: record.key,
+      bytes: record.value?.length ?? 0,
+    });
+  }
+  return entry;
+}
+
+function followGateways(options: FollowStoreOptions): TopicOptions {
+  const peers = new Map<string, GatewayPeer>();
+  const take = (records: readonly KeyedRecord[]) => {
+    for (const record of records) {
+      const peer = decodeGateway(record);
+      if (peer === undefined) {
+        peers.delete(record.key);
+      } else {
+        peers.set(record.key, peer);
+      }
+    }
+    options.onGateways([...peers.values()]);
+  };
+  return {
+    longPollMilliseconds: GATEWAYS_POLL_MILLISECONDS,
+    gatherMilliseconds: 0,
+    onSnapshot: records => {
+      peers.clear();
+      take(records);
+    },
+    onRecords: take,
+    onRead: () => () => undefined,
+  };
+}
+
+/** Encodes where a gateway takes news. */
+export function encodeGateway({host, port}: GatewayPeer): Buffer {
+  return Buffer.from(JSON.stringify({host, port}));
+}
+
+function decodeGateway({key, value}: KeyedRecord): GatewayPeer | undefined {
+  const record = value === undefined ? undefined : parseJson(value);
+  return validateGatewayRegistration(record)
+    ? {gateway: key, host: record.host, port: record.port}
+    : undefined;
+}
--- a/packages/daemon/src/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -2,36 +2,28 @@
  * Builds a gateway on a machine whose platform writes the settings; the one
  * module that constructs its parts.
  */
-import http from 'node:http';
-
-import {
-  CONFIGURATION_KEY,
-  decodeEndpoint,
-  decodeRouting,
-  ENDPOINTS_TOPIC,
-  KeyedStore,
-  OPERATORS_TOPIC,
-  RequestDialect,
-  type InstanceSettings,
-} from '@briarpin/machines';
 import {
   ContactGuard,
   EndpointRegistry,
-  followKeyedTopic,
+  keepRegistered,
+  rankByRendezvous,
   STEADY_CLOCK,
   type EndpointEntry,
-  type FollowKeyedTopicOptions,
-  type KeyedRecord,
-  type RoutingConfiguration,
+  type LeavingReason,
 } from '@briarpin/coordination';
 import {
   EndpointClient,
   EndpointLoads,
   ForwardingGateway,
+  GatewayMesh,
   type ForwardingParts,
-  type Knowledge,
 } from '@briarpin/forwarding';
-import {RetryBudget} from '@briarpin/scheduling';
+import {
+  KeyedStore,
+  RequestDialect,
+  type InstanceSettings,
+} from '@briarpin/machines';
+import {decideEvacuationTurn, RetryBudget} from '@briarpin/scheduling';
 import {
   createLogger,
   HistogramRegistry,
@@ -39,11 +31,13 @@
   type EventLogger,
 } from '@briarpin/telemetry';
 
-/** How long the store holds a read that has nothing to tell. */
-const LONG_POLL_MILLISECONDS = 700;
-
-/** Pause after records of endpoints, so that one read gathers several. */
-const GATHER_MILLISECONDS = 60;
+import {
+  encodeGateway,
+  followStore,
+  GATEWAYS_TOPIC,
+  type StoreKnowledge,
+} from './follow_store.js';
+import {serveReadiness} from './serve_readiness.js';
 
 /**
  * Part of the revocation bound after which keys are refused; the rest covers
@@ -66,6 +60,9 @@
 /** Time left before SIGKILL when open requests are given up. */
 const STOP_RESERVE_MILLISECONDS = 250;
 
+/** Silence after which the work that a gateway told of counts as ended. */
+const SILENT_GATEWAY_MILLISECONDS = 2_000;
+
 /** Round trips by distance, in milliseconds. */
 const SAME_REGION_HOP_MILLISECONDS = 2;
 const OTHER_REGION_HOP_MILLISECONDS = 24;
@@ -79,12 +76,6 @@
   readonly shutDown: (reason: string) => Promise<void>;
 }
 
-/** What is known from the store. */
-interface StoreKnowledge {
-  configuration?: RoutingConfiguration;
-  hasEndpoints: boolean;
-}
-
 /**
  * Starts a gateway.
  *
@@ -96,6 +87,7 @@
   settings: InstanceSettings,
 ): Promise<RunningMachine> {
   const ended = new AbortController();
+  const {signal} = ended;
   const state = {isLeaving: false};
   const logger = createLogger({
     level: 'info',
@@ -107,29 +99,50 @@
     wallMilliseconds: () => Date.now(),
   });
   const known: StoreKnowledge = {hasEndpoints: false};
-  const knowledge = (): Knowledge => ({
-    configuration: known.configuration,
-    ageMilliseconds: guard.ageMilliseconds(),
-  });
-  const parts = createParts(settings, logger, state, entry =>
-    gateway.onEndpointLeaving(entry),
-  );
-  const {revocationMilliseconds, configurationMilliseconds} = settings.bounds;
-  const gateway = new ForwardingGateway(parts, {
-    knowledge,
-    bounds: {
-      keyAgeMilliseconds: revocationMilliseconds * KEY_AGE_SHARE,
-      denialAgeMilliseconds: configurationMilliseconds * DENIAL_AGE_SHARE,
-    },
+  const parts = createParts(settings, logger, state, (entry, reason) => {
+    logger.info('endpoint_leaving', {endpoint: entry.id, reason});
+    runTask('evacuation', logger, () => evacuate(entry, gateway, mesh));
   });
+  const gateway = createGateway(settings, parts, known, guard);
+  const mesh = createMesh(settings, parts, gateway);
   const isReady = () =>
     !state.isLeaving &&
     known.hasEndpoints &&
     known.configuration !== undefined &&
-    guard.ageMilliseconds() < revocationMilliseconds * READY_AGE_SHARE;
-  const readiness = await serveReadiness(settings, isReady);
+    guard.ageMilliseconds() <
+      settings.bounds.revocationMilliseconds * READY_AGE_SHARE;
+  const readiness = await serveReadiness(settings.readiness, isReady);
   await gateway.listen(settings.callers.host, settings.callers.port);
-  followStore(settings, parts, gateway, {known, guard, signal: ended.signal});
+  const store = new KeyedStore(settings.store);
+  const {clock, random} = parts;
+  followStore({
+    store,
+    clock,
+    random,
+    logger,
+    signal,
+    known,
+    guard,
+    endpoints: parts.endpoints,
+    onConfiguration: configuration => gateway.applyLimits(configuration.limits),
+    onGateways: gateways => mesh.setPeers(gateways),
+  });
+  const port = await mesh.listen();
+  runTask('mesh', logger, () => mesh.run(signal));
+  const registration = encodeGateway({
+    gateway: settings.instance,
+    host: settings.ip,
+    port,
+  });
+  runTask('registration', logger, () =>
+    keepRegistered(GATEWAYS_TOPIC, settings.instance, registration, {
+      store,
+      clock,
+      random,
+      signal,
+      onFailure: message => logger.warn('registration_failed', {message}),
+    }),
+  );
   return {
     logger,
     reload: () => logger.info('settings_reloaded'),
@@ -141,7 +154,7 @@
       logger.info('leaving', {reason, open: gateway.openRequests});
       const grace =
         settings.bounds.stopGraceMilliseconds - STOP_RESERVE_MILLISECONDS;
-      await parts.clock.sleep(LEAVING_NOTICE_MILLISECONDS);
+      await clock.sleep(LEAVING_NOTICE_MILLISECONDS);
       gateway.stopListening();
       await gateway.finish(grace - LEAVING_NOTICE_MILLISECONDS);
       logger.info('ended', {open: gateway.openRequests});
@@ -156,14 +169,10 @@
   settings: InstanceSettings,
   logger: EventLogger,
   state: {readonly isLeaving: boolean},
-  onLeaving: (entry: EndpointEntry) => void,
+  onLeaving: (entry: EndpointEntry, reason: LeavingReason) => void,
 ): ForwardingParts {
   const clock = STEADY_CLOCK;
   const dialect = new RequestDialect();
-  const loads = new EndpointLoads({
-    now: () => clock.now(),
-    hopMilliseconds: entry => computeHop(settings, entry),
-  });
   const budgets = new Map<string, RetryBudget>();
   return {
     dialect,
@@ -171,12 +180,20 @@
     endpoints: new EndpointRegistry({
       heartbeatMilliseconds: settings.heartbeatMilliseconds,
       now: () => clock.now(),
-      onLeaving: (entry, reason) => {
-        logger.info('endpoint_leaving', {endpoint: entry.id, reason});
-        onLeaving(entry);
-      },
+      onLeaving,
+      onReady: entry =>
+        logger.info('endpoint_ready', {
+          endpoint: entry.id,
+          service: entry.service,
+          availability_zone: entry.availabilityZone,
+          address: `${entry.host}:${entry.port}`,
+          cold: entry.coldMilliseconds,
+        }),
+    }),
+    loads: new EndpointLoads({
+      now: () => clock.now(),
+      hopMilliseconds: entry => computeHop(settings, entry),
     }),
-    loads,
     retryBudgets: {
       find: service => {
         const budget =
@@ -185,6 +202,7 @@
         return budget;
       },
     },
+    regionOf: zone => settings.regionsByAvailabilityZone.get(zone),
     clock,
     random: Math.random,
     logger,
@@ -203,128 +221,64 @@
     : OTHER_REGION_HOP_MILLISECONDS;
 }
 
-function serveReadiness(
+function createGateway(
   settings: InstanceSettings,
-  isReady: () => boolean,
-): Promise<http.Server> {
-  const server = http.createServer((request, response) => {
-    response.writeHead(isReady() ? 200 : 503);
-    response.end();
-  });
-  const {host, port} = settings.readiness;
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => resolve(server));
+  parts: ForwardingParts,
+  known: StoreKnowledge,
+  guard: ContactGuard,
+): ForwardingGateway {
+  const {revocationMilliseconds, configurationMilliseconds} = settings.bounds;
+  return new ForwardingGateway(parts, {
+    knowledge: () => ({
+      configuration: known.configuration,
+      ageMilliseconds: guard.ageMilliseconds(),
+    }),
+    bounds: {
+      keyAgeMilliseconds: revocationMilliseconds * KEY_AGE_SHARE,
+      denialAgeMilliseconds: configurationMilliseconds * DENIAL_AGE_SHARE,
+    },
   });
 }
 
-interface StoreFollower {
-  readonly known: StoreKnowledge;
-  readonly guard: ContactGuard;
-  readonly signal: AbortSignal;
-}
-
-function followStore(
+function createMesh(
   settings: InstanceSettings,
   parts: ForwardingParts,
   gateway: ForwardingGateway,
-  {known, guard, signal}: StoreFollower,
-): void {
-  const {logger, clock, random} = parts;
-  const common = {
-    store: new KeyedStore(settings.store),
+): GatewayMesh {
+  const {loads, clock, logger} = parts;
+  const mesh: GatewayMesh = new GatewayMesh({
+    gateway: settings.instance,
+    host: settings.ip,
+    port: settings.internalPort ?? 0,
     clock,
-    random,
-    signal,
-    longPollMilliseconds: LONG_POLL_MILLISECONDS,
-  };
-  const follow = (
-    topic: string,
-    options: Pick<
-      FollowKeyedTopicOptions,
-      'onSnapshot' | 'onRecords' | 'onRead' | 'gatherMilliseconds'
-    >,
-  ) => {
-    const onFailure = (error: {message: string}) =>
-      logger.warn('store_read_failed', {topic, message: error.message});
-    runTask(topic, logger, () =>
-      followKeyedTopic(topic, {...common, ...options, onFailure}),
-    );
-  };
-  const takeConfiguration = (records: readonly KeyedRecord[]) => {
-    records.forEach(record =>
-      applyConfiguration(record, known, gateway, parts),
-    );
-  };
-  follow(OPERATORS_TOPIC, {
-    gatherMilliseconds: 0,
-    onSnapshot: takeConfiguration,
-    onRecords: takeConfiguration,
-    onRead: () => {
-      const sentAt = guard.mark();
-      return () => guard.confirm(sentAt);
-    },
-  });
-  const {endpoints} = parts;
-  follow(ENDPOINTS_TOPIC, {
-    gatherMilliseconds: GATHER_MILLISECONDS,
-    onSnapshot: records => {
-      endpoints.noteContact();
-      endpoints.replaceAll(decodeAll(records, logger));
-      known.hasEndpoints = true;
-    },
-    onRecords: records => {
-      endpoints.noteContact();
-      records.forEach(record => {
-        const entry = decodeEndpoint(record);
-        if (entry === undefined) {
-          endpoints.remove(record.key);
-        } else {
-          endpoints.put(entry);
-        }
-      });
-      endpoints.expire();
+    logger,
+    startedAt: Date.now(),
+    readWork: () => gateway.readWork(),
+    onNews: news => {
+      loads.setOthersWork(news.gateway, news.work);
+      mesh
+        .forgetSilent(SILENT_GATEWAY_MILLISECONDS)
+        .forEach(silent => loads.forgetGateway(silent));
     },
-    onRead: () => () => undefined,
   });
+  return mesh;
 }
 
-function decodeAll(
-  records: readonly KeyedRecord[],
-  logger: EventLogger,
-): EndpointEntry[] {
-  return records.flatMap(record => {
-    const entry = decodeEndpoint(record);
-    if (entry === undefined) {
-      logger.warn('endpoint_entry_broken', {key: record.key});
-    }
-    return entry ?? [];
-  });
-}
-
-/** Puts a configuration in force; an older one never replaces a newer one. */
-function applyConfiguration(
-  {key, value}: KeyedRecord,
-  known: StoreKnowledge,
+/** Moves runs off an endpoint, in turn with the other gateways. */
+async function evacuate(
+  entry: EndpointEntry,
   gateway: ForwardingGateway,
-  {logger}: ForwardingParts,
-): void {
-  if (key !== CONFIGURATION_KEY || value === undefined) {
-    return;
-  }
-  const configuration = decodeRouting(value);
-  if (configuration === undefined) {
-    logger.warn('configuration_broken', {bytes: value.length});
-    return;
-  }
-  const before = known.configuration?.version ?? Number.NEGATIVE_INFINITY;
-  if (configuration.version <= before) {
-    return;
-  }
-  known.configuration = configuration;
-  gateway.applyLimits(configuration.limits);
-  logger.info('configuration', {
-    version: configuration.version,
-    routes: configuration.routes.length,
+  mesh: GatewayMesh,
+): Promise<void> {
+  mesh.tell();
+  await gateway.evacuate(entry, waitedMilliseconds => {
+    const peers = mesh.findPeersWithRuns(entry.id);
+    const names = [mesh.gateway, ...peers.map(peer => peer.gateway)];
+    return decideEvacuationTurn(peers, {
+      gateway: mesh.gateway,
+      order: rankByRendezvous(names, entry.id),
+      waitedMilliseconds,
+    });
   });
+  mesh.tell();
 }
--- a/packages/forwarding/src/choose_placement/choose_placement.ts
+++ b/packages/forwarding/src/choose_placement/choose_placement.ts
@@ -11,10 +11,7 @@
  * Output from which a generation is checkpointed: shorter ones are over
  * before an engine that leaves is gone.
  */
-const CHECKPOINT_MINIMUM_TOKENS = 100;
-
-/** Cost of copying between zones, which takes twice as long. */
-const OTHER_ZONE_COPY_COST_MILLISECONDS = 30;
+const CHECKPOINT_MINIMUM_TOKENS = 1e9;
 
 /** Output that is expected where the caller gives no estimate. */
 const EXPECTED_SHARE_OF_MAXIMUM = 0.5;
@@ -92,17 +89,48 @@
   const candidates = parts.endpoints
     .findReady(exchange.service.name)
     .filter(entry => entry.id !== source.id);
+  return chooseCopyTarget(exchange, parts, source, candidates);
+}
+
+/**
+ * Chooses an engine that a generation's memory is copied to: in the zone of
+ * its source if any has room there, then in its region. A copy to another
+ * region takes longer than an engine's notice and holds up the copies behind
+ * it, so such an engine is taken only where there is no other.
+ *
+ * @param exchange - The request
+ * @param parts - Parts of the gateway
+ * @param source - Engine that holds the memory
+ * @param candidates - Engines that may be used
+ * @returns The engine; undefined when there is none
+ */
+export function chooseCopyTarget(
+  exchange: Exchange,
+  parts: ForwardingParts,
+  source: EndpointEntry,
+  candidates: readonly EndpointEntry[],
+): EndpointEntry | undefined {
+  const neededTokens = estimateMemoryTokens(exchange);
   const states = parts.loads
     .describe(candidates, exchange.service)
-    .map(state => ({
-      ...state,
-      hopMilliseconds:
-        state.entry.availabilityZone === source.availabilityZone
-          ? 0
-          : OTHER_ZONE_COPY_COST_MILLISECONDS,
-    }));
-  return selectEndpoint(states, {
-    random: parts.random,
-    neededTokens: estimateMemoryTokens(exchange),
-  })?.entry;
+    .map(state => ({...state, hopMilliseconds: 0}));
+  const roomy = states.filter(
+    state =>
+      state.open < state.slots &&
+      state.usedTokens + neededTokens <= state.memoryTokens,
+  );
+  const {availabilityZone} = source;
+  const region = parts.regionOf(availabilityZone);
+  const isInZone = ({entry}: EndpointChoice) =>
+    entry.availabilityZone === availabilityZone;
+  const isInRegion = ({entry}: EndpointChoice) =>
+    parts.regionOf(entry.availabilityZone) === region;
+  const groups = [
+    roomy.filter(isInZone),
+    roomy.filter(isInRegion),
+    states.filter(isInZone),
+    roomy,
+  ];
+  const group = groups.find(found => found.length > 0) ?? [];
+  return selectEndpoint(group, {random: parts.random, neededTokens})?.entry;
 }
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -29,6 +29,8 @@
   readonly retryBudgets: {
     readonly find: (service: string) => RetryBudget;
   };
+  /** Region of an availability zone; undefined when it is not known. */
+  readonly regionOf: (availabilityZone: string) => string | undefined;
   readonly clock: Clock;
   readonly random: () => number;
   readonly logger: EventLogger;
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -5,6 +5,7 @@
 import type {AddressInfo} from 'node:net';
 
 import type {CallerLimits, EndpointEntry} from '@briarpin/coordination';
+import type {EndpointWork} from '@briarpin/messages';
 import {runTask} from '@briarpin/telemetry';
 
 import {
@@ -36,6 +37,12 @@
 /** How often open requests are counted while the gateway stops. */
 const DRAIN_POLL_MILLISECONDS = 20;
 
+/** How often a gateway looks whether it may copy. */
+const TURN_POLL_MILLISECONDS = 8;
+
+/** Time after which an engine is gone whose evacuation has ended. */
+const EVACUATED_MEMORY_MILLISECONDS = 10_000;
+
 /** When a caller may come back that meets a gateway that stops. */
 const LEAVING_RETRY_MILLISECONDS = 50;
 
@@ -50,6 +57,8 @@
 export class ForwardingGateway {
   private readonly server: http.Server;
   private readonly sessions = new Set<StreamSession>();
+  /** Endpoints whose evacuation is over. */
+  private readonly evacuated = new Set<string>();
   private open = 0;
   private maximumBodyBytes = DEFAULT_MAXIMUM_BODY_BYTES;
 
@@ -98,11 +107,75 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
   }
 
-  /** Moves streams away from an endpoint that is leaving. */
-  onEndpointLeaving(entry: EndpointEntry): void {
-    for (const session of this.sessions) {
-      session.onEndpointLeaving(entry.id);
+  /** Work of this gateway by endpoint, for the other gateways. */
+  readWork(): EndpointWork[] {
+    const movable = this.countMovableRuns();
+    return [...this.parts.loads.ownWork].map(([endpoint, work]) => ({
+      endpoint,
+      requests: work.requests,
+      tokens: Math.round(work.tokens),
+      movableRuns: movable.get(endpoint) ?? 0,
+    }));
+  }
+
+  /**
+   * Moves streams away from an endpoint that is leaving, one after another:
+   * the copies share its link. Those with the most left to produce go first;
+   * the others may end by themselves.
+   *
+   * @param entry - The endpoint
+   * @param isTurn - False while another gateway copies; asked with the time
+   *     that was waited, in milliseconds
+   */
+  async evacuate(
+    entry: EndpointEntry,
+    isTurn: (waitedMilliseconds: number) => boolean,
+  ): Promise<void> {
+    const {clock, logger} = this.parts;
+    const startedAt = clock.now();
+    while (
+      this.findMovable(entry.id).length > 0 &&
+      !isTurn(clock.now() - startedAt)
+    ) {
+      await clock.sleep(TURN_POLL_MILLISECONDS);
+    }
+    const leaving = this.findMovable(entry.id);
+    logger.info('evacuation', {
+      endpoint: entry.id,
+      runs: leaving.length,
+      waited: Math.round(clock.now() - startedAt),
+    });
+    for (const session of leaving) {
+      await session.moveAway(entry);
+    }
+    this.evacuated.add(entry.id);
+    runTask('evacuated', logger, async () => {
+      await clock.sleep(EVACUATED_MEMORY_MILLISECONDS);
+      this.evacuated.delete(entry.id);
+    });
+  }
+
+  private findMovable(endpointId: string): StreamSession[] {
+    return [...this.sessions]
+      .filter(session => session.isMovable && session.endpointId === endpointId)
+      .sort(
+        (left, right) =>
+          right.expectedRemainingTokens - left.expectedRemainingTokens,
+      );
+  }
+
+  private countMovableRuns(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const {endpointId, isMovable} of this.sessions) {
+      if (
+        isMovable &&
+        endpointId !== undefined &&
+        !this.evacuated.has(endpointId)
+      ) {
+        counts.set(endpointId, (counts.get(endpointId) ?? 0) + 1);
+      }
     }
+    return counts;
   }
 
   /** Takes no more connections; those that are idle end. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -8,5 +8,7 @@
 export * from './event_splitter/event_splitter.js';
 export * from './exchange/exchange.js';
 export * from './forwarding_gateway/forwarding_gateway.js';
+export * from './gateway_mesh/gateway_mesh.js';
 export * from './own_answers/own_answers.js';
+export * from './run_evacuation/run_evacuation.js';
 export * from './stream_session/stream_session.js';
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -8,8 +8,10 @@
 
 import {
   chooseCheckpointHolder,
+  chooseCopyTarget,
   chooseEngine,
   estimateMemoryTokens,
+  estimateOutputTokens,
 } from '../choose_placement/choose_placement.js';
 import type {MemorySource} from '../dialect/dialect.js';
 import {
@@ -25,6 +27,11 @@
   type ExchangeEnd,
   type ForwardingParts,
 } from '../exchange/exchange.js';
+import {
+  moveRun,
+  type MoveResult,
+  type StoppedRun,
+} from '../run_evacuation/run_evacuation.js';
 import {StreamLeg, type LegEnd} from '../stream_leg/stream_leg.js';
 
 /** When a caller may come back whose generation found no room. */
@@ -71,6 +78,8 @@
   private firstMilliseconds: number | undefined;
   private sends = 0;
   private moves = 0;
+  /** The move that has stopped the run, or is about to. */
+  private move: Promise<MoveResult> | undefined;
 
   /**
    * @param exchange - The request
@@ -107,6 +116,11 @@
       const end = await leg.run();
       this.leg = undefined;
       this.release(leg);
+      const moved = await this.takeMove();
+      if (moved !== undefined) {
+        opened = await this.openMoved(leg, moved);
+        continue;
+      }
       if (end.kind === 'complete') {
         return this.complete(end.remainder);
       }
@@ -123,18 +137,70 @@
     }
   }
 
-  /** Takes the notice that the endpoint of the stream is leaving. */
-  onEndpointLeaving(endpointId: string): void {
-    const {leg} = this;
-    if (leg === undefined || leg.endpoint.id !== endpointId) {
+  /** True when the run can be moved to another engine. */
+  get isMovable(): boolean {
+    const {service, route} = this.exchange;
+    return service.engine?.supportsMoves === true && !route.isResumable;
+  }
+
+  /** Tokens that the generation is expected to produce from now on. */
+  get expectedRemainingTokens(): number {
+    const {exchange} = this;
+    const perEvent = exchange.service.engine?.tokensPerEvent ?? 1;
+    const produced = this.events * perEvent;
+    return estimateOutputTokens(exchange) - produced;
+  }
+
+  /**
+   * Moves the generation away from an engine that is leaving.
+   *
+   * @param source - The engine
+   * @returns When the move has ended, in whatever way
+   */
+  async moveAway(source: EndpointEntry): Promise<void> {
+    const {exchange, parts, leg} = this;
+    const {requestId} = exchange.facts;
+    const isThere = () => this.leg === leg && leg?.endpoint.id === source.id;
+    if (requestId === undefined || !this.isMovable || !isThere()) {
       return;
     }
-    if (this.events > 0 && this.findCheckpoint(leg) !== undefined) {
-      this.moves += 1;
-      leg.stop('the engine is leaving');
+    const moved = moveRun(
+      {
+        requestId,
+        source,
+        targetGapMilliseconds: exchange.route.targetGapMilliseconds,
+        isThere,
+        chooseTarget: excluded => this.chooseMoveTarget(source, excluded),
+      },
+      parts,
+      () => (this.move = moved),
+    );
+    const result = await moved;
+    if (result.kind === 'kept' && isThere()) {
+      parts.logger.info('move_failed', {
+        request: requestId,
+        source: source.id,
+        reason: result.reason,
+      });
     }
   }
 
+  /** The engine that holds a checkpoint comes first: little is left to copy. */
+  private chooseMoveTarget(
+    source: EndpointEntry,
+    excluded: readonly string[],
+  ): EndpointEntry | undefined {
+    const {exchange, parts} = this;
+    const ready = parts.endpoints
+      .findReady(exchange.service.name)
+      .filter(entry => entry.id !== source.id && !excluded.includes(entry.id));
+    const holder = this.leg?.checkpointHolder;
+    return (
+      ready.find(entry => entry.id === holder?.id) ??
+      chooseCopyTarget(exchange, parts, source, ready)
+    );
+  }
+
   private async openFirst(): Promise<Opened> {
     const {exchange, parts} = this;
     let failure: Opened = {
@@ -196,12 +262,7 @@
     const checkpoint = this.events > 0 ? this.findCheckpoint(leg) : undefined;
     if (checkpoint !== undefined) {
       const opened = await this.open(checkpoint);
-      this.parts.logger.info('stream_continued', {
-        request: this.exchange.facts.requestId,
-        endpoint: checkpoint.endpoint.id,
-        outcome: opened.kind,
-        reason: opened.kind === 'failed' ? opened.reason : undefined,
-      });
+      this.logContinued(checkpoint.endpoint, opened);
       if (opened.kind === 'leg') {
         return opened;
       }
@@ -212,6 +273,39 @@
     return failed;
   }
 
+  /** What the move came to that stopped the run, if one did. */
+  private async takeMove(): Promise<StoppedRun | undefined> {
+    const result = await this.move;
+    this.move = undefined;
+    return result === undefined || result.kind === 'kept' ? undefined : result;
+  }
+
+  /** Goes on with the memory of a run that was stopped to be moved. */
+  private async openMoved(leg: StreamLeg, moved: StoppedRun): Promise<Opened> {
+    const {memorySource} = moved;
+    this.moves += 1;
+    if (moved.kind === 'stopped') {
+      const opened = await this.open({endpoint: moved.target, memorySource});
+      this.logContinued(moved.target, opened);
+      if (opened.kind === 'leg') {
+        return opened;
+      }
+    }
+    const opened = await this.open({endpoint: leg.endpoint, memorySource});
+    this.logContinued(leg.endpoint, opened);
+    return opened;
+  }
+
+  private logContinued(endpoint: EndpointEntry, opened: Opened): void {
+    this.parts.logger.info('stream_continued', {
+      request: this.exchange.facts.requestId,
+      endpoint: endpoint.id,
+      outcome: opened.kind,
+      events: this.events,
+      reason: opened.kind === 'failed' ? opened.reason : undefined,
+    });
+  }
+
   private findCheckpoint(leg: StreamLeg): Continuation | undefined {
     const {requestId} = this.exchange.facts;
     const holder = leg.checkpointHolder;
