Believe no answer without a length whose connection was reset

An answer without a length ends with its connection; Node's parser takes a reset for that end and calls the answer complete, so half a body was passed on as whole.

Ruled out: bytes lost here (the body came short from the server).

Change: such an answer counts as whole only after the connection was closed in order.

--- a/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
+++ b/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
@@ -102,7 +102,8 @@
         : await store.readFrom(
             topic,
             position,
-            options.longPollMilliseconds,
+            // After a failure, what is known is confirmed without delay.
+            failures === 0 ? options.longPollMilliseconds : 0,
             signal,
           );
     if (signal.aborted) {
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -2,6 +2,8 @@
  * Builds a gateway on a machine whose platform writes the settings; the one
  * module that constructs its parts.
  */
+import type {AddressInfo} from 'node:net';
+
 import {
   ContactGuard,
   EndpointRegistry,
@@ -70,10 +72,14 @@
 /** A gateway that is running. */
 export interface RunningMachine {
   readonly logger: EventLogger;
+  /** Ports that were bound. */
+  readonly ports: {readonly callers: number; readonly readiness: number};
   /** Takes changed settings. */
   readonly reload: () => void;
   /** Finishes what is open within the grace, then ends. */
   readonly shutDown: (reason: string) => Promise<void>;
+  /** Ends at once. */
+  readonly stop: () => Promise<void>;
 }
 
 /**
@@ -112,7 +118,10 @@
     guard.ageMilliseconds() <
       settings.bounds.revocationMilliseconds * READY_AGE_SHARE;
   const readiness = await serveReadiness(settings.readiness, isReady);
-  await gateway.listen(settings.callers.host, settings.callers.port);
+  const callersPort = await gateway.listen(
+    settings.callers.host,
+    settings.callers.port,
+  );
   const store = new KeyedStore(settings.store);
   const {clock, random} = parts;
   followStore({
@@ -128,7 +137,7 @@
     onGateways: gateways => mesh.setPeers(gateways),
   });
   const port = await mesh.listen();
-  runTask('mesh', logger, () => mesh.run(signal));
+  const running = mesh.run(signal);
   const registration = encodeGateway({
     gateway: settings.instance,
     host: settings.ip,
@@ -143,8 +152,20 @@
       onFailure: message => logger.warn('registration_failed', {message}),
     }),
   );
+  const stop = async () => {
+    ended.abort();
+    gateway.stopListening();
+    gateway.close();
+    readiness.close();
+    readiness.closeAllConnections();
+    await running;
+  };
   return {
     logger,
+    ports: {
+      callers: callersPort,
+      readiness: (readiness.address() as AddressInfo).port,
+    },
     reload: () => logger.info('settings_reloaded'),
     shutDown: async reason => {
       if (state.isLeaving) {
@@ -158,10 +179,9 @@
       gateway.stopListening();
       await gateway.finish(grace - LEAVING_NOTICE_MILLISECONDS);
       logger.info('ended', {open: gateway.openRequests});
-      ended.abort();
-      gateway.close();
-      readiness.close();
+      await stop();
     },
+    stop,
   };
 }
 
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -51,6 +51,8 @@
       readonly kind: 'answered';
       readonly response: http.IncomingMessage;
       readonly facts: AnswerFacts;
+      /** True once the whole body has come; asked when it has ended. */
+      readonly isWhole: () => boolean;
     }
   /** The endpoint says that it has not run the request. */
   | {
@@ -189,10 +191,30 @@
       request.destroy();
       return {kind: 'unknown', reason: `status ${status} without a promise`};
     }
-    return {kind: 'answered', response, facts};
+    const isWhole = watchWholeness(response);
+    return {kind: 'answered', response, facts, isWhole};
   }
 }
 
+/**
+ * Watches whether an answer comes whole. A body without a length ends with
+ * its connection, and the parser takes a reset for such an end.
+ */
+function watchWholeness(response: http.IncomingMessage): () => boolean {
+  const {headers, socket} = response;
+  const hasOwnEnd =
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined;
+  if (hasOwnEnd) {
+    return () => response.complete;
+  }
+  let isClosed = false;
+  let isReset = false;
+  socket.once('end', () => (isClosed = true));
+  socket.once('error', () => (isReset = true));
+  return () => response.complete && isClosed && !isReset;
+}
+
 /** Notes when bytes can leave, and gives up on a silent peer. */
 function watchConnection(
   request: http.ClientRequest,
@@ -223,18 +245,19 @@
 /**
  * Reads the body of an answer to its end.
  *
- * @param response - Answer whose head was read
+ * @param answer - Answer whose head was read
  * @returns The body; broken when the endpoint broke it off
  */
-export function gatherBody(
-  response: http.IncomingMessage,
-): Promise<GatheredBody> {
+export function gatherBody({
+  response,
+  isWhole,
+}: AttemptResult & {kind: 'answered'}): Promise<GatheredBody> {
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     let size = 0;
     const finish = (reason?: string) => {
       resolve(
-        reason === undefined && response.complete
+        reason === undefined && isWhole()
           ? {kind: 'whole', body: Buffer.concat(chunks)}
           : {kind: 'broken', reason: reason ?? 'the answer broke off'},
       );
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -160,7 +160,7 @@
     case 'answered': {
       const {response, facts} = attempt;
       const status = response.statusCode ?? 0;
-      const gathered = await gatherBody(response);
+      const gathered = await gatherBody(attempt);
       if (gathered.kind === 'broken') {
         return {kind: 'unknown', reason: gathered.reason};
       }
--- a/packages/forwarding/src/stream_leg/stream_leg.ts
+++ b/packages/forwarding/src/stream_leg/stream_leg.ts
@@ -23,6 +23,8 @@
 export interface StreamLegOptions {
   readonly endpoint: EndpointEntry;
   readonly response: IncomingMessage;
+  /** True once the whole body has come; asked when it has ended. */
+  readonly isWhole: () => boolean;
   /** Ends the connection to the endpoint. */
   readonly abort: () => void;
   /** Endpoint that keeps a checkpoint of this run. */
@@ -74,7 +76,7 @@
       response.on('data', (chunk: Buffer) => this.take(chunk));
       response.on('end', () => {
         this.end?.(
-          response.complete
+          this.options.isWhole()
             ? {kind: 'complete', remainder: this.splitter.remainder}
             : {kind: 'broken', reason: 'the stream broke off'},
         );
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -356,6 +356,7 @@
       const leg = new StreamLeg({
         endpoint,
         response: result.response,
+        isWhole: result.isWhole,
         abort: () => controller.abort(),
         checkpointHolder: holder,
         memoryTokens,
@@ -490,7 +491,7 @@
     case 'answered': {
       const {response, facts} = result;
       const status = response.statusCode ?? 0;
-      const gathered = await gatherBody(response);
+      const gathered = await gatherBody(result);
       if (gathered.kind === 'broken' || !facts.isSigned) {
         const reason = `a broken answer with status ${status}`;
         return {kind: 'failed', reason, mayHaveRun: true, wasSent: true};
--- /dev/null
+++ b/packages/scheduling/src/select_endpoint/select_endpoint.test.ts
@@ -0,0 +1,80 @@
+/**
+ * Tests of selecting endpoints.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {selectEndpoint, type EndpointState} from './select_endpoint.js';
+
+function createState(
+  id: string,
+  change?: Partial<EndpointState>,
+): EndpointState {
+  return {
+    id,
+    open: 0,
+    slots: 8,
+    usedTokens: 0,
+    memoryTokens: Number.POSITIVE_INFINITY,
+    hopMilliseconds: 0,
+    failureShare: 0,
+    latencyMilliseconds: 20,
+    ...change,
+  };
+}
+
+function select(states: readonly EndpointState[], neededTokens = 0) {
+  const options = {random: () => 0.5, neededTokens};
+  return selectEndpoint(states, options)?.id;
+}
+
+describe('selectEndpoint', () => {
+  it('has no answer without candidates', () => {
+    assert.equal(select([]), undefined);
+  });
+
+  it('prefers the nearer one while both have room', () => {
+    const near = createState('near', {open: 3});
+    const far = createState('far', {hopMilliseconds: 24});
+    assert.equal(select([far, near]), 'near');
+  });
+
+  it('goes further when the nearer one has a queue', () => {
+    const near = createState('near', {open: 30, latencyMilliseconds: 40});
+    const far = createState('far', {hopMilliseconds: 24});
+    assert.equal(select([near, far]), 'far');
+  });
+
+  it('avoids one that fails', () => {
+    const failing = createState('failing', {failureShare: 0.5});
+    const far = createState('far', {hopMilliseconds: 24});
+    assert.equal(select([failing, far]), 'far');
+  });
+
+  describe('with engine memory', () => {
+    const memoryTokens = 30_000;
+
+    it('fills engines evenly', () => {
+      const full = createState('full', {usedTokens: 20_000, memoryTokens});
+      const empty = createState('empty', {usedTokens: 8_000, memoryTokens});
+      assert.equal(select([full, empty], 4_000), 'empty');
+    });
+
+    it('avoids a preemption even at the price of a hop', () => {
+      const near = createState('near', {usedTokens: 28_000, memoryTokens});
+      const far = createState('far', {
+        usedTokens: 20_000,
+        memoryTokens,
+        hopMilliseconds: 24,
+      });
+      assert.equal(select([near, far], 4_000), 'far');
+    });
+  });
+
+  it('spreads equal endpoints over gateways', () => {
+    const states = ['a', 'b', 'c'].map(id => createState(id));
+    const draws = [0.9, 0.1, 0.5];
+    const random = () => draws.shift() ?? 0;
+    assert.equal(selectEndpoint(states, {random, neededTokens: 0})?.id, 'b');
+  });
+});
--- /dev/null
+++ b/packages/stand_ins/src/machine/machine_scene.ts
@@ -0,0 +1,265 @@
+/**
+ * A gateway of the users' machines with a store and servers, in one process.
+ */
+import http from 'node:http';
+
+import {
+  startMachineGateway,
+  type RunningMachine,
+} from '@briarpin/daemon/machine';
+import type {InstanceSettings} from '@briarpin/machines';
+
+import {KeyedStoreStandIn} from './keyed_store_stand_in.js';
+import {ServerStandIn, type ServerStandInOptions} from './server_stand_in.js';
+
+/** How long a scene waits for something that must come. */
+const PATIENCE_MILLISECONDS = 10_000;
+
+const POLL_MILLISECONDS = 5;
+
+/** Service of plain servers in every scene. */
+export const DESK = 'desk';
+
+/** Service of model engines in every scene. */
+export const TEXT = 'text';
+
+/** An answer as a caller sees it. */
+export interface SeenAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** False when the connection ended in the middle of the answer. */
+  readonly isComplete: boolean;
+}
+
+/** A request as a caller sends it. */
+export interface SentRequest {
+  readonly path: string;
+  readonly method?: string;
+  readonly requestId?: string;
+  readonly headers?: http.OutgoingHttpHeaders;
+  readonly body?: string;
+  /** Ends the connection of the caller. */
+  readonly signal?: AbortSignal;
+  /** Told of each chunk of the answer. */
+  readonly onData?: (text: string) => void;
+}
+
+/** Options of {@link MachineScene.start}. */
+export interface MachineSceneOptions {
+  readonly desks?: number;
+  readonly engines?: readonly Partial<ServerStandInOptions>[];
+  readonly bounds?: Partial<InstanceSettings['bounds']>;
+}
+
+/** Everything that one test needs. */
+export class MachineScene {
+  readonly store = new KeyedStoreStandIn();
+  readonly desks: ServerStandIn[] = [];
+  readonly engines: ServerStandIn[] = [];
+  private readonly agent = new http.Agent({keepAlive: false});
+  private running: RunningMachine | undefined;
+  private version = 0;
+  private requests = 0;
+
+  private constructor() {}
+
+  /** Starts the parts and waits until the gateway is ready. */
+  static async start(options: MachineSceneOptions = {}): Promise<MachineScene> {
+    const scene = new MachineScene();
+    const address = await scene.store.start();
+    const neighbours = new Map<string, ServerStandIn>();
+    for (let index = 0; index < (options.desks ?? 1); index += 1) {
+      scene.desks.push(new ServerStandIn({id: `desk-${index}`}));
+    }
+    (options.engines ?? []).forEach((engine, index) =>
+      scene.engines.push(
+        new ServerStandIn({id: `engine-${index}`, ...engine}, neighbours),
+      ),
+    );
+    for (const server of [...scene.desks, ...scene.engines]) {
+      await server.start();
+    }
+    scene.configure();
+    scene.desks.forEach(server => scene.announce(server, DESK));
+    scene.engines.forEach(server => scene.announce(server, TEXT));
+    scene.running = await startMachineGateway(
+      createSettings(address, options.bounds),
+    );
+    await scene.waitFor('readiness', () => scene.isReady());
+    return scene;
+  }
+
+  /** Ends everything. */
+  async stop(): Promise<void> {
+    await this.running?.stop();
+    for (const server of [...this.desks, ...this.engines]) {
+      await server.stop();
+    }
+    await this.store.stop();
+    this.agent.destroy();
+  }
+
+  /** Begins the graceful shutdown of the gateway. */
+  shutDown(): Promise<void> {
+    return this.running?.shutDown('test') ?? Promise.resolve();
+  }
+
+  /** Writes the next version of the configuration. */
+  configure(change: object = {}, version = (this.version += 1)): void {
+    this.store.put('keyed.op', 'config', {
+      ...createConfiguration(version),
+      ...change,
+    });
+  }
+
+  /** Writes the entry of a server. */
+  announce(server: ServerStandIn, service: string, change: object = {}): void {
+    this.store.put(
+      'keyed.servers',
+      server.id,
+      server.describe(service, change),
+    );
+  }
+
+  /** Asks whether the gateway says that it is ready. */
+  async isReady(): Promise<boolean> {
+    const port = this.running?.ports.readiness;
+    const answer = await this.exchange({path: '/briarpin/ready'}, port);
+    return answer.status === 200;
+  }
+
+  /** Sends a request with a key to the gateway. */
+  send(request: SentRequest): Promise<SeenAnswer> {
+    return this.exchange(request, this.running?.ports.callers);
+  }
+
+  /** Waits until a condition holds; what did not come is an error. */
+  async waitFor(
+    what: string,
+    condition: () => boolean | Promise<boolean>,
+  ): Promise<void> {
+    const end = performance.now() + PATIENCE_MILLISECONDS;
+    while (!(await condition())) {
+      if (performance.now() > end) {
+        throw new Error(`${what} did not come in ${PATIENCE_MILLISECONDS} ms`);
+      }
+      await new Promise(resolve => setTimeout(resolve, POLL_MILLISECONDS));
+    }
+  }
+
+  private exchange(
+    request: SentRequest,
+    port: number | undefined,
+  ): Promise<SeenAnswer> {
+    this.requests += 1;
+    const requestId = request.requestId ?? `r-${this.requests}`;
+    return new Promise((resolve, reject) => {
+      const sent = http.request({
+        host: '127.0.0.1',
+        port,
+        path: request.path,
+        method: request.method ?? 'GET',
+        agent: this.agent,
+        signal: request.signal,
+        headers: {
+          Host: 'shop.example',
+          Authorization: 'Token key-1',
+          'X-Briarpin-Request-Id': requestId,
+          ...request.headers,
+        },
+      });
+      sent.on('error', reject);
+      sent.on('response', response => {
+        let body = '';
+        response.setEncoding('utf8');
+        response.on('data', (text: string) => {
+          body += text;
+          request.onData?.(text);
+        });
+        response.on('error', () => undefined);
+        response.on('close', () => {
+          const {statusCode, headers, complete} = response;
+          const status = statusCode ?? 0;
+          resolve({status, headers, body, isComplete: complete});
+        });
+      });
+      sent.end(request.body);
+    });
+  }
+}
+
+function createConfiguration(version: number): object {
+  const route = (name: string, change: object) => ({
+    Name: name,
+    Hostname: 'shop.example',
+    PathPrefix: `/${name}/`,
+    Type: 'idempotent',
+    TimeoutMs: 3_000,
+    TargetLatencyMs: 200,
+    MaxAttempts: 2,
+    Service: DESK,
+    ...change,
+  });
+  const stream = {Type: 'stream', Service: TEXT, GapAimMs: 180};
+  return {
+    Version: version,
+    Routes: [
+      route('stock', {}),
+      route('open', {Public: true}),
+      route('hold', {Type: 'non_idempotent', MaxAttempts: 1}),
+      route('hold-anywhere', {Type: 'non_idempotent', MaxAttempts: 3}),
+      route('hasty', {TimeoutMs: 300, MaxAttempts: 1}),
+      route('text/long', {...stream, MaxAttempts: 1, TimeoutMs: 30_000}),
+      route('text/short', {...stream, Resumable: true}),
+    ],
+    Services: [
+      {Name: DESK, HealthPath: '/health'},
+      {
+        Name: TEXT,
+        HealthPath: '/health',
+        Engine: {
+          Slots: 8,
+          KvTokens: 30_000,
+          Moves: true,
+          Backups: true,
+          Stride: 1,
+        },
+      },
+    ],
+    Limits: {
+      MaxHeaderBytes: 16_384,
+      MaxBodyBytes: 65_536,
+      HeaderTimeoutMs: 3_000,
+      IdleTimeoutMs: 15_000,
+    },
+    Tenants: [{Name: 'quilters', ApiKeys: ['key-1']}],
+  };
+}
+
+function createSettings(
+  store: InstanceSettings['store'],
+  bounds: Partial<InstanceSettings['bounds']> = {},
+): InstanceSettings {
+  return {
+    instance: 'front-1',
+    ip: '127.0.0.1',
+    availabilityZone: 'east-1',
+    region: 'east',
+    regionsByAvailabilityZone: new Map([['east-1', 'east']]),
+    callers: {host: '127.0.0.1', port: 0},
+    readiness: {host: '127.0.0.1', port: 0},
+    store,
+    heartbeatMilliseconds: 1_200,
+    bounds: {
+      stopGraceMilliseconds: 8_000,
+      configurationMilliseconds: 2_500,
+      revocationMilliseconds: 5_000,
+      failsClosed: true,
+      retryRatio: 0.2,
+      retrySlack: 50,
+      retryWindowMilliseconds: 10_000,
+      ...bounds,
+    },
+  };
+}
--- /dev/null
+++ b/packages/stand_ins/src/machine/server_stand_in.ts
@@ -0,0 +1,293 @@
+/**
+ * A stand-in for a server of the users' machines, plain or model engine.
+ */
+import type http from 'node:http';
+
+import {
+  readJson,
+  sendJson,
+  startServer,
+  type ListeningServer,
+} from '../http/json_server.js';
+
+/** Time between two events of a stream. */
+const EVENT_MILLISECONDS = 5;
+
+/** Names the kinds of answers that a server can be told to give. */
+export type ServerBehaviour =
+  | 'answers'
+  /** States that it did not run the request. */
+  | 'refuses'
+  /** 503 without saying that it did not run the request. */
+  | 'fails_with_503'
+  /** Its own failure, signed. */
+  | 'fails_with_500'
+  /** Runs the request and resets the connection. */
+  | 'resets'
+  /** A body without a length that ends with the connection. */
+  | 'answers_without_length'
+  /** A body without a length, and a reset in its middle. */
+  | 'resets_without_length'
+  /** Another request's answer. */
+  | 'answers_another'
+  /** Never answers. */
+  | 'silent'
+  /** Breaks a stream off in the middle of an event. */
+  | 'breaks_stream';
+
+/** A request that a server began to run. */
+export interface RunRecord {
+  readonly requestId: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  readonly path: string;
+  /** First event of a stream that this run made. */
+  readonly firstEvent: number;
+  /** Set when the connection ended before the answer did. */
+  wasAbandoned: boolean;
+}
+
+interface LiveRun {
+  readonly record: RunRecord;
+  made: number;
+  /** Ends the connection without the end of the stream. */
+  readonly stop: () => void;
+}
+
+/** Options of {@link ServerStandIn}. */
+export interface ServerStandInOptions {
+  readonly id: string;
+  /** Events in a stream. */
+  readonly events?: number;
+}
+
+/** A server in memory. */
+export class ServerStandIn {
+  behaviour: ServerBehaviour = 'answers';
+  /** Requests that it began to run. */
+  readonly runs: RunRecord[] = [];
+  /** Copies that other servers sent, events made by their handles. */
+  readonly copies = new Map<string, number>();
+  private readonly live = new Map<string, LiveRun>();
+  private listening: ListeningServer | undefined;
+  private address: {host: string; port: number} | undefined;
+
+  /**
+   * @param options - Its name and what its streams are like
+   * @param neighbours - Servers by `host:port`, for copies
+   */
+  constructor(
+    private readonly options: ServerStandInOptions,
+    private readonly neighbours = new Map<string, ServerStandIn>(),
+  ) {}
+
+  get id(): string {
+    return this.options.id;
+  }
+
+  /** Requests that it has been asked for and not answered. */
+  get liveRuns(): number {
+    return this.live.size;
+  }
+
+  /** Starts on a free port of loopback. */
+  async start(): Promise<void> {
+    this.listening = await startServer((request, response) =>
+      this.handle(request, response),
+    );
+    const {hostname, port} = new URL(this.listening.url);
+    this.address = {host: hostname, port: Number(port)};
+    this.neighbours.set(`${hostname}:${port}`, this);
+  }
+
+  /** Stops at once. */
+  async stop(): Promise<void> {
+    await this.listening?.close();
+  }
+
+  /** Its entry in the store. */
+  describe(service: string, change: object = {}): object {
+    return {
+      Service: service,
+      Address: `${this.address?.host}:${this.address?.port}`,
+      Zone: 'east-1',
+      Slots: 8,
+      State: 'ready',
+      Seq: 1,
+      born: 1,
+      ...change,
+    };
+  }
+
+  private async handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    if (request.url === '/briarpin/kv-move') {
+      this.move((await readJson(request)) as MoveBody, response);
+      return;
+    }
+    const requestId = String(request.headers['x-briarpin-request-id']);
+    const expected = request.headers['x-briarpin-expect-instance'];
+    if (expected !== this.id) {
+      response.writeHead(421, {'X-Briarpin-Instance-Id': this.id});
+      response.end();
+      return;
+    }
+    const body = await readText(request);
+    if (this.behaviour === 'refuses') {
+      response.writeHead(503, {
+        'X-Briarpin-Not-Executed': '1',
+        'X-Briarpin-Request-Id': requestId,
+      });
+      response.end();
+      return;
+    }
+    const record: RunRecord = {
+      requestId,
+      headers: request.headers,
+      body,
+      path: request.url ?? '',
+      firstEvent: this.findStart(request) + 1,
+      wasAbandoned: false,
+    };
+    this.runs.push(record);
+    response.once('close', () => {
+      record.wasAbandoned = !response.writableFinished;
+      this.live.delete(requestId);
+    });
+    this.answer(record, response);
+  }
+
+  /** Events that the caller or a copy already has. */
+  private findStart(request: http.IncomingMessage): number {
+    return Number(request.headers['last-event-id'] ?? 0);
+  }
+
+  private answer(record: RunRecord, response: http.ServerResponse): void {
+    const headers = {
+      'X-Briarpin-Request-Id': record.requestId,
+      'X-Briarpin-Server-Stamp': `signed by ${this.id}`,
+    };
+    switch (this.behaviour) {
+      case 'answers':
+      case 'breaks_stream':
+        if (record.path.startsWith('/text/')) {
+          this.stream(record, response, headers);
+          return;
+        }
+        response.writeHead(200, headers);
+        response.end(`${record.path} ran at ${this.id}`);
+        return;
+      case 'fails_with_500':
+        response.writeHead(500, headers);
+        response.end('failed');
+        return;
+      case 'fails_with_503':
+        response.writeHead(503, headers);
+        response.end('failed');
+        return;
+      case 'answers_another':
+        response.writeHead(200, {...headers, 'X-Briarpin-Request-Id': 'other'});
+        response.end('not yours');
+        return;
+      case 'resets':
+        response.socket?.resetAndDestroy();
+        return;
+      case 'answers_without_length':
+      case 'resets_without_length':
+        this.answerWithoutLength(record, response);
+        return;
+      case 'silent':
+      case 'refuses':
+        return;
+    }
+  }
+
+  private answerWithoutLength(
+    record: RunRecord,
+    response: http.ServerResponse,
+  ): void {
+    const {socket} = response;
+    const isBroken = this.behaviour === 'resets_without_length';
+    socket?.write(
+      'HTTP/1.1 200 OK\r\nConnection: close\r\n' +
+        `X-Briarpin-Request-Id: ${record.requestId}\r\n` +
+        `X-Briarpin-Server-Stamp: signed by ${this.id}\r\n\r\n` +
+        'a body that has no len',
+      () => {
+        if (isBroken) {
+          // The reader has to see the bytes before the reset.
+          setTimeout(() => socket.resetAndDestroy(), 20);
+        } else {
+          socket.end('gth');
+        }
+      },
+    );
+  }
+
+  private stream(
+    record: RunRecord,
+    response: http.ServerResponse,
+    headers: http.OutgoingHttpHeaders,
+  ): void {
+    const total = this.options.events ?? 10;
+    const run: LiveRun = {
+      record,
+      made: record.firstEvent - 1,
+      stop: () => response.destroy(),
+    };
+    this.live.set(record.requestId, run);
+    response.writeHead(200, {...headers, 'Content-Type': 'text/event-stream'});
+    const breakAt =
+      this.behaviour === 'breaks_stream' ? run.made + 3 : undefined;
+    const timer = setInterval(() => {
+      run.made += 1;
+      const event = `id: ${run.made}\ndata: word ${run.made}\n\n`;
+      if (run.made === breakAt) {
+        clearInterval(timer);
+        response.write(event.slice(0, 8), () => response.destroy());
+        return;
+      }
+      response.write(event);
+      if (run.made >= total) {
+        clearInterval(timer);
+        response.end();
+      }
+    }, EVENT_MILLISECONDS);
+    response.once('close', () => clearInterval(timer));
+  }
+
+  private move(body: MoveBody, response: http.ServerResponse): void {
+    const run = this.live.get(body.Id);
+    const target = this.neighbours.get(body.Target);
+    if (run === undefined || run.made === 0) {
+      sendJson(response, 404, {});
+      return;
+    }
+    if (target === undefined || target.behaviour === 'refuses') {
+      sendJson(response, 503, {});
+      return;
+    }
+    const handle = `copy-${body.Id}`;
+    target.copies.set(handle, run.made);
+    if (body.Last) {
+      run.stop();
+    }
+    sendJson(response, 200, {Handle: handle, CreateRev: run.made});
+  }
+}
+
+interface MoveBody {
+  readonly Id: string;
+  readonly Target: string;
+  readonly Last: boolean;
+}
+
+async function readText(request: http.IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
--- a/tools/run_tests.js
+++ b/tools/run_tests.js
@@ -10,8 +10,9 @@
 const CONCURRENT_FILES = 4;
 
 const words = process.argv.slice(2);
-const files = readdirSync('packages')
-  .flatMap(name => listTests(join('packages', name, 'dist')))
+const folders = readdirSync('packages').map(name => join('packages', name));
+const files = [...folders, 'platform']
+  .flatMap(folder => listTests(join(folder, 'dist')))
   .filter(file => words.length === 0 || words.some(word => file.includes(word)))
   .sort();
 if (files.length === 0) {
