Say 504 whenever the time of a request ended it

Cause: a timer may fire a fraction of a millisecond before its time by the steady clock; the request then counted as not yet over and was answered 502.

Change: whether the time was over follows from the signal that ended the request, not from the clock read again.

--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -208,7 +208,7 @@
       retryAfterMilliseconds: CROWDED_RETRY_MILLISECONDS,
     });
   }
-  const isOver = remainingMilliseconds(exchange, parts.clock) === 0;
+  const isOver = exchange.signal.aborted;
   return answerExchange(exchange, parts, {
     kind: isOver ? 'timed_out' : 'unknown',
     reason,
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -457,7 +457,7 @@
         retryAfterMilliseconds: CROWDED_RETRY_MILLISECONDS,
       });
     }
-    const isOver = remainingMilliseconds(exchange, parts.clock) === 0;
+    const isOver = exchange.signal.aborted;
     return answerExchange(exchange, parts, {
       kind: isOver ? 'timed_out' : 'unknown',
       reason,
