Tell a reset from an end that came with the last bytes

When a reset comes together with the last bytes, the event loop reports the end of the stream and hides the reset, so half a body without a length passed for whole.

Ruled out: an error event that comes late (none comes), reading the peer's address after the end (the client has closed the socket by then).

Change: the peer is asked for before the client's own listener; a socket that was reset has none, one that was closed in order still has one.

--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -198,7 +198,9 @@
 
 /**
  * Watches whether an answer comes whole. A body without a length ends with
- * its connection, and the parser takes a reset for such an end.
+ * its connection, and a reset shows as such an end, too: the event loop reports
+ * the end of the stream when the reset came together with the last bytes. Only
+ * a connection that was closed in order still has a peer at that moment.
  */
 function watchWholeness(response: http.IncomingMessage): () => boolean {
   const {headers, socket} = response;
@@ -208,11 +210,13 @@
   if (hasOwnEnd) {
     return () => response.complete;
   }
-  let isClosed = false;
-  let isReset = false;
-  socket.once('end', () => (isClosed = true));
-  socket.once('error', () => (isReset = true));
-  return () => response.complete && isClosed && !isReset;
+  let isClosedInOrder = false;
+  // Before the client's own listener, which closes the socket.
+  socket.prependOnceListener('end', () => {
+    isClosedInOrder = socket.remotePort !== undefined;
+  });
+  socket.once('error', () => (isClosedInOrder = false));
+  return () => response.complete && isClosedInOrder;
 }
 
 /** Notes when bytes can leave, and gives up on a silent peer. */
--- a/packages/stand_ins/src/machine/server_stand_in.ts
+++ b/packages/stand_ins/src/machine/server_stand_in.ts
@@ -217,8 +217,11 @@
         'a body that has no len',
       () => {
         if (isBroken) {
-          // The reader has to see the bytes before the reset.
-          setTimeout(() => socket.resetAndDestroy(), 20);
+          // The last bytes and the reset reach the reader together.
+          setTimeout(() => {
+            socket.write('gt');
+            socket.resetAndDestroy();
+          }, 20);
         } else {
           socket.end('gth');
         }
