Share second sends between gateways, and log what is lost and regained

Cause: each gateway held a burst of 10 second sends for each service; 29 of them would exceed the slack of 98 that all share (BUDGET). Every read that the store failed was a line of the log, and the cause was missing from it: the field message is the library's own and was dropped, for failed tasks, too.

Change: the slack is divided by the gateways that are known; a topic is logged when it is lost and when it is regained; a field named message is kept.

--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -80,16 +80,23 @@
 export function followStore(options: FollowStoreOptions): void {
   const follow = (topic: string, topicOptions: TopicOptions) => {
     const {store, clock, random, signal, logger} = options;
-    const onFailure = (error: {message: string}) =>
-      logger.warn('store_read_failed', {topic, message: error.message});
+    const contact = new LoggedContact(topic, options);
+    const onRead = () => {
+      const confirm = topicOptions.onRead();
+      return () => {
+        contact.noteAnswer();
+        confirm();
+      };
+    };
     runTask(topic, logger, () =>
       followKeyedTopic(topic, {
         store,
         clock,
         random,
         signal,
-        onFailure,
         ...topicOptions,
+        onRead,
+        onFailure: error => contact.noteFailure(error.message),
       }),
     );
   };
@@ -98,6 +105,40 @@
   follow(GATEWAYS_TOPIC, followGateways(options));
 }
 
+/** Logs when a topic is lost and regained, not each read that fails. */
+class LoggedContact {
+  private lostAt: number | undefined;
+  private failures = 0;
+
+  constructor(
+    private readonly topic: string,
+    private readonly options: Pick<FollowStoreOptions, 'clock' | 'logger'>,
+  ) {}
+
+  noteFailure(message: string): void {
+    const {clock, logger} = this.options;
+    this.failures += 1;
+    if (this.lostAt === undefined) {
+      this.lostAt = clock.now();
+      logger.warn('store_lost', {topic: this.topic, cause: message});
+    }
+  }
+
+  noteAnswer(): void {
+    if (this.lostAt === undefined) {
+      return;
+    }
+    const {clock, logger} = this.options;
+    logger.info('store_regained', {
+      topic: this.topic,
+      failures: this.failures,
+      milliseconds: Math.round(clock.now() - this.lostAt),
+    });
+    this.lostAt = undefined;
+    this.failures = 0;
+  }
+}
+
 function followConfiguration(options: FollowStoreOptions): TopicOptions {
   const {guard} = options;
   const take = (records: readonly KeyedRecord[]) =>
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -18,6 +18,7 @@
   EndpointLoads,
   ForwardingGateway,
   GatewayMesh,
+  RetryBudgets,
   type ForwardingParts,
 } from '@briarpin/forwarding';
 import {
@@ -25,7 +26,7 @@
   RequestDialect,
   type InstanceSettings,
 } from '@briarpin/machines';
-import {decideEvacuationTurn, RetryBudget} from '@briarpin/scheduling';
+import {decideEvacuationTurn} from '@briarpin/scheduling';
 import {
   createLogger,
   HistogramRegistry,
@@ -134,7 +135,10 @@
     guard,
     endpoints: parts.endpoints,
     onConfiguration: configuration => gateway.applyLimits(configuration.limits),
-    onGateways: gateways => mesh.setPeers(gateways),
+    onGateways: gateways => {
+      mesh.setPeers(gateways);
+      parts.retryBudgets.setGateways(gateways.length);
+    },
   });
   const port = await mesh.listen();
   const running = mesh.run(signal);
@@ -193,7 +197,6 @@
 ): ForwardingParts {
   const clock = STEADY_CLOCK;
   const dialect = new RequestDialect();
-  const budgets = new Map<string, RetryBudget>();
   return {
     dialect,
     client: new EndpointClient(dialect),
@@ -214,14 +217,10 @@
       now: () => clock.now(),
       hopMilliseconds: entry => computeHop(settings, entry),
     }),
-    retryBudgets: {
-      find: service => {
-        const budget =
-          budgets.get(service) ?? new RetryBudget(settings.bounds.retryRatio);
-        budgets.set(service, budget);
-        return budget;
-      },
-    },
+    retryBudgets: new RetryBudgets({
+      ratio: settings.bounds.retryRatio,
+      slack: settings.bounds.retrySlack,
+    }),
     regionOf: zone => settings.regionsByAvailabilityZone.get(zone),
     clock,
     random: Math.random,
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -11,12 +11,12 @@
   RoutedOrganisation,
   RoutedService,
 } from '@briarpin/coordination';
-import type {RetryBudget} from '@briarpin/scheduling';
 import type {EventLogger, HistogramRegistry} from '@briarpin/telemetry';
 
 import type {Dialect, RequestFacts} from '../dialect/dialect.js';
 import type {EndpointClient} from '../endpoint_client/endpoint_client.js';
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
+import type {RetryBudgets} from '../retry_budgets/retry_budgets.js';
 import {sendOwnAnswer, type OwnAnswer} from '../own_answers/own_answers.js';
 
 /** Parts of the gateway that handlers of requests use. */
@@ -26,9 +26,7 @@
   readonly endpoints: EndpointRegistry;
   readonly loads: EndpointLoads;
   /** Second sends by service. */
-  readonly retryBudgets: {
-    readonly find: (service: string) => RetryBudget;
-  };
+  readonly retryBudgets: RetryBudgets;
   /** Region of an availability zone; undefined when it is not known. */
   readonly regionOf: (availabilityZone: string) => string | undefined;
   readonly clock: Clock;
--- a/packages/scheduling/src/retry_budget/retry_budget.ts
+++ b/packages/scheduling/src/retry_budget/retry_budget.ts
@@ -10,21 +10,33 @@
  * retries.
  */
 export class RetryBudget {
-  private available = RETRY_BURST;
+  private available: number;
 
   /**
    * @param ratio - Retries for each first attempt
+   * @param burst - Retries that are held when nothing has been sent for long
    */
-  constructor(private ratio: number) {}
+  constructor(
+    private ratio: number,
+    private burst = RETRY_BURST,
+  ) {
+    this.available = burst;
+  }
 
   /** Sets the retries for each first attempt. */
   setRatio(ratio: number): void {
     this.ratio = ratio;
   }
 
+  /** Sets the retries that are held; those above are lost. */
+  setBurst(burst: number): void {
+    this.burst = burst;
+    this.available = Math.min(this.available, burst);
+  }
+
   /** Notes a first attempt. */
   noteFirstAttempt(): void {
-    this.available = Math.min(RETRY_BURST, this.available + this.ratio);
+    this.available = Math.min(this.burst, this.available + this.ratio);
   }
 
   /** Takes one retry; false when the budget is spent. */
--- a/packages/telemetry/src/create_logger/create_logger.test.ts
+++ b/packages/telemetry/src/create_logger/create_logger.test.ts
@@ -25,6 +25,14 @@
     );
   });
 
+  it('keeps a field that the library has a use for itself', () => {
+    assert.match(
+      lineFor({message: 'why it failed'}),
+      /message="why it failed"/,
+    );
+    assert.doesNotMatch(lineFor({}), /message=/);
+  });
+
   it('lets no value begin a line or a pair', () => {
     const line = lineFor({
       request: 'x\nlevel=error event=forged "q" a=b\u2028',
--- a/packages/telemetry/src/create_logger/create_logger.ts
+++ b/packages/telemetry/src/create_logger/create_logger.ts
@@ -60,9 +60,13 @@
 }
 
 function formatLine(info: winston.Logform.TransformableInfo): string {
-  const {level, event, message: _message, ...fields} = info;
+  const {level, event, message, ...fields} = info;
   const time = new Date().toISOString();
   const pairs: Record<string, unknown> = {time, level, event};
+  // The library's own field, unless the event has one of that name.
+  if (message !== event) {
+    pairs['message'] = escapeControlCharacters(message);
+  }
   for (const [name, value] of Object.entries(fields)) {
     if (value !== undefined) {
       pairs[name] = escapeControlCharacters(value);
