Place prompts by what is to be read before them, and evacuate what is on its way

Change: gateways tell the prompts that have no first event yet; the predicted wait and the slowness of an engine go into placing. An evacuation goes on until no run is left, and a gateway waits while the runs ahead of it become fewer.

--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -8,7 +8,6 @@
   ContactGuard,
   EndpointRegistry,
   keepRegistered,
-  rankByRendezvous,
   STEADY_CLOCK,
   type EndpointEntry,
   type LeavingReason,
@@ -17,6 +16,7 @@
   EndpointClient,
   EndpointLoads,
   ForwardingGateway,
+  EvacuationTurn,
   GatewayMesh,
   RetryBudgets,
   type ForwardingParts,
@@ -26,7 +26,6 @@
   RequestDialect,
   type InstanceSettings,
 } from '@briarpin/machines';
-import {decideEvacuationTurn} from '@briarpin/scheduling';
 import {
   createLogger,
   HistogramRegistry,
@@ -290,14 +289,11 @@
   mesh: GatewayMesh,
 ): Promise<void> {
   mesh.tell();
-  await gateway.evacuate(entry, waitedMilliseconds => {
-    const peers = mesh.findPeersWithRuns(entry.id);
-    const names = [mesh.gateway, ...peers.map(peer => peer.gateway)];
-    return decideEvacuationTurn(peers, {
-      gateway: mesh.gateway,
-      order: rankByRendezvous(names, entry.id),
-      waitedMilliseconds,
-    });
-  });
+  const turn = new EvacuationTurn(entry.id, mesh, STEADY_CLOCK);
+  await gateway.evacuate(
+    entry,
+    () => turn.hasCome(),
+    () => mesh.tell(),
+  );
   mesh.tell();
 }
--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
@@ -14,15 +14,38 @@
 /** Time after which an average has lost half of its weight. */
 const AVERAGE_HALF_LIFE_MILLISECONDS = 3_000;
 
+/**
+ * Time to read one prompt token until first events have shown it, in
+ * milliseconds: a chunked prefill that shares its steps with running work.
+ */
+const FIRST_MILLISECONDS_PER_PROMPT_TOKEN = 0.15;
+
+/** Bounds of how much slower or faster an engine is than the others. */
+const MINIMUM_SLOWNESS = 0.5;
+const MAXIMUM_SLOWNESS = 10;
+
 /** Work that is open at one endpoint. */
 export interface OpenWork {
-  requests: number;
-  tokens: number;
+  readonly requests: number;
+  /** Memory that it is expected to take, in tokens. */
+  readonly tokens: number;
+  /** Prompts without a first event, in tokens. */
+  readonly promptTokens: number;
+}
+
+const NO_WORK: OpenWork = {requests: 0, tokens: 0, promptTokens: 0};
+
+/** Memory of the engines of a zone, in tokens. */
+interface ZoneMemory {
+  used: number;
+  total: number;
 }
 
 interface Averages {
   failureShare: number;
   latencyMilliseconds: number;
+  /** Time to first events against that of all engines. */
+  slowness: number;
   updatedAt: number;
 }
 
@@ -47,6 +70,7 @@
   private readonly own = new Map<string, OpenWork>();
   private readonly others = new Map<string, ReadonlyMap<string, OpenWork>>();
   private readonly averages = new Map<string, Averages>();
+  private millisecondsPerPromptToken = FIRST_MILLISECONDS_PER_PROMPT_TOKEN;
 
   /**
    * @param options - Clock and distances
@@ -68,16 +92,47 @@
     this.others.delete(gateway);
   }
 
-  /** Adds work at an endpoint; negative numbers take it away. */
-  add(endpointId: string, requests: number, tokens: number): void {
-    const work = this.own.get(endpointId) ?? {requests: 0, tokens: 0};
-    work.requests += requests;
-    work.tokens += tokens;
-    if (work.requests <= 0 && work.tokens <= 0) {
-      this.own.delete(endpointId);
-    } else {
-      this.own.set(endpointId, work);
+  /** Adds work at an endpoint. */
+  add(endpointId: string, work: Partial<OpenWork>): void {
+    this.change(endpointId, work, 1);
+  }
+
+  /** Takes away work that was added. */
+  remove(endpointId: string, work: Partial<OpenWork>): void {
+    this.change(endpointId, work, -1);
+  }
+
+  /** Prompts that an engine has to read before one that comes now. */
+  promptTokensAt(endpointId: string): number {
+    return this.sumWork(endpointId).promptTokens;
+  }
+
+  /**
+   * Notes the time to a first event.
+   *
+   * @param endpointId - Engine
+   * @param promptTokens - The prompt and those before it at the engine
+   * @param milliseconds - Time from the sending
+   */
+  noteFirstEvent(
+    endpointId: string,
+    promptTokens: number,
+    milliseconds: number,
+  ): void {
+    const averages = this.decay(endpointId);
+    averages.failureShare -= AVERAGE_WEIGHT * averages.failureShare;
+    if (promptTokens > 0) {
+      const perToken = milliseconds / promptTokens;
+      const seen = perToken / this.millisecondsPerPromptToken;
+      const bounded = Math.min(
+        MAXIMUM_SLOWNESS,
+        Math.max(MINIMUM_SLOWNESS, seen),
+      );
+      averages.slowness += AVERAGE_WEIGHT * (bounded - averages.slowness);
+      this.millisecondsPerPromptToken +=
+        AVERAGE_WEIGHT * (perToken - this.millisecondsPerPromptToken);
     }
+    this.averages.set(endpointId, averages);
   }
 
   /**
@@ -109,12 +164,35 @@
     entries: readonly EndpointEntry[],
     service: RoutedService | undefined,
   ): EndpointChoice[] {
-    return entries.map(entry => this.describeOne(entry, service?.engine));
+    const engine = service?.engine;
+    const zones = this.sumZones(entries, engine);
+    return entries.map(entry =>
+      this.describeOne(entry, engine, zones.get(entry.availabilityZone)),
+    );
+  }
+
+  /** Tokens taken and there are in the engines of each zone. */
+  private sumZones(
+    entries: readonly EndpointEntry[],
+    engine: EngineProfile | undefined,
+  ): ReadonlyMap<string, ZoneMemory> {
+    const zones = new Map<string, ZoneMemory>();
+    if (engine === undefined) {
+      return zones;
+    }
+    for (const {availabilityZone, id} of entries) {
+      const zone = zones.get(availabilityZone) ?? {used: 0, total: 0};
+      zone.used += this.sumWork(id).tokens;
+      zone.total += engine.memoryTokens;
+      zones.set(availabilityZone, zone);
+    }
+    return zones;
   }
 
   private describeOne(
     entry: EndpointEntry,
     engine: EngineProfile | undefined,
+    zone: ZoneMemory | undefined,
   ): EndpointChoice {
     const work = this.sumWork(entry.id);
     const averages = this.decay(entry.id);
@@ -125,19 +203,43 @@
       slots: Math.max(1, entry.slots),
       usedTokens: work.tokens,
       memoryTokens: engine?.memoryTokens ?? Number.POSITIVE_INFINITY,
+      evacuationShare: computeEvacuationShare(engine, zone),
       hopMilliseconds: this.options.hopMilliseconds(entry),
       failureShare: averages.failureShare,
-      latencyMilliseconds:
-        engine === undefined ? averages.latencyMilliseconds : 0,
+      waitMilliseconds:
+        engine === undefined
+          ? predictCallMilliseconds(averages, work, entry.slots)
+          : work.promptTokens *
+            this.millisecondsPerPromptToken *
+            averages.slowness,
+    };
+  }
+
+  private change(
+    endpointId: string,
+    {requests = 0, tokens = 0, promptTokens = 0}: Partial<OpenWork>,
+    sign: 1 | -1,
+  ): void {
+    const work = this.own.get(endpointId) ?? NO_WORK;
+    const changed = {
+      requests: work.requests + sign * requests,
+      tokens: work.tokens + sign * tokens,
+      promptTokens: work.promptTokens + sign * promptTokens,
     };
+    if (changed.requests <= 0 && changed.tokens <= 0) {
+      this.own.delete(endpointId);
+    } else {
+      this.own.set(endpointId, changed);
+    }
   }
 
   private sumWork(endpointId: string): OpenWork {
-    const sum = {requests: 0, tokens: 0};
+    const sum = {requests: 0, tokens: 0, promptTokens: 0};
     for (const work of [this.own, ...this.others.values()]) {
-      const open = work.get(endpointId);
-      sum.requests += open?.requests ?? 0;
-      sum.tokens += open?.tokens ?? 0;
+      const open = work.get(endpointId) ?? NO_WORK;
+      sum.requests += open.requests;
+      sum.tokens += open.tokens;
+      sum.promptTokens += open.promptTokens;
     }
     return sum;
   }
@@ -146,14 +248,43 @@
     const now = this.options.now();
     const known = this.averages.get(endpointId);
     if (known === undefined) {
-      return {failureShare: 0, latencyMilliseconds: 0, updatedAt: now};
+      return {
+        failureShare: 0,
+        latencyMilliseconds: 0,
+        slowness: 1,
+        updatedAt: now,
+      };
     }
     const trust =
       0.5 ** ((now - known.updatedAt) / AVERAGE_HALF_LIFE_MILLISECONDS);
     return {
       failureShare: known.failureShare * trust,
       latencyMilliseconds: known.latencyMilliseconds * trust,
+      slowness: 1 + (known.slowness - 1) * trust,
       updatedAt: now,
     };
   }
 }
+
+/** Part of the rest of a zone that its work would take if an engine left. */
+function computeEvacuationShare(
+  engine: EngineProfile | undefined,
+  zone: ZoneMemory | undefined,
+): number {
+  if (engine === undefined || zone === undefined || !engine.supportsMoves) {
+    return 0;
+  }
+  const rest = zone.total - engine.memoryTokens;
+  return rest <= 0 ? Number.POSITIVE_INFINITY : zone.used / rest;
+}
+
+/** Predicts the time of a call at a plain service, its queue included. */
+function predictCallMilliseconds(
+  {latencyMilliseconds}: Averages,
+  {requests}: OpenWork,
+  slots: number,
+): number {
+  const places = Math.max(1, slots);
+  const queued = Math.max(0, requests + 1 - places);
+  return latencyMilliseconds * (1 + queued / places);
+}
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -106,3 +106,8 @@
     reason: answer.reason,
   };
 }
+
+/** Rank of a request; the organisation's goes before the route's. */
+export function rankUrgency({organisation, route}: Exchange): number {
+  return organisation?.priority ?? route.priority;
+}
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -108,7 +108,7 @@
 ): Promise<CallResult> {
   const {loads, clock} = parts;
   const sentAt = clock.now();
-  loads.add(entry.id, 1, 0);
+  loads.add(entry.id, {requests: 1});
   try {
     const attempt = await parts.client.send(
       createAttempt(exchange, parts, entry),
@@ -118,7 +118,7 @@
     loads.note(entry.id, failed, failed ? undefined : clock.now() - sentAt);
     return result;
   } finally {
-    loads.add(entry.id, -1, 0);
+    loads.remove(entry.id, {requests: 1});
   }
 }
 
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -40,8 +40,8 @@
 /** How often a gateway looks whether it may copy. */
 const TURN_POLL_MILLISECONDS = 8;
 
-/** Time after which an engine is gone whose evacuation has ended. */
-const EVACUATED_MEMORY_MILLISECONDS = 10_000;
+/** Time after which a run that was not moved is left where it is. */
+const EVACUATION_MILLISECONDS = 6_000;
 
 /** When a caller may come back that meets a gateway that stops. */
 const LEAVING_RETRY_MILLISECONDS = 50;
@@ -57,8 +57,6 @@
 export class ForwardingGateway {
   private readonly server: http.Server;
   private readonly sessions = new Set<StreamSession>();
-  /** Endpoints whose evacuation is over. */
-  private readonly evacuated = new Set<string>();
   private open = 0;
   private maximumBodyBytes = DEFAULT_MAXIMUM_BODY_BYTES;
 
@@ -114,6 +112,7 @@
       endpoint,
       requests: work.requests,
       tokens: Math.round(work.tokens),
+      promptTokens: Math.round(work.promptTokens),
       movableRuns: movable.get(endpoint) ?? 0,
     }));
   }
@@ -121,38 +120,39 @@
   /**
    * Moves streams away from an endpoint that is leaving, one after another:
    * the copies share its link. Those with the most left to produce go first;
-   * the others may end by themselves.
+   * the others may end by themselves. Streams that were on their way when the
+   * notice came are waited for.
    *
    * @param entry - The endpoint
-   * @param isTurn - False while another gateway copies; asked with the time
-   *     that was waited, in milliseconds
+   * @param isTurn - False while another gateway copies
+   * @param onMoved - Told after each run
    */
   async evacuate(
     entry: EndpointEntry,
-    isTurn: (waitedMilliseconds: number) => boolean,
+    isTurn: () => boolean,
+    onMoved: () => void,
   ): Promise<void> {
     const {clock, logger} = this.parts;
     const startedAt = clock.now();
-    while (
-      this.findMovable(entry.id).length > 0 &&
-      !isTurn(clock.now() - startedAt)
-    ) {
-      await clock.sleep(TURN_POLL_MILLISECONDS);
+    let moved = 0;
+    while (clock.now() - startedAt < EVACUATION_MILLISECONDS) {
+      const runs = this.findMovable(entry.id);
+      if (runs.length === 0) {
+        break;
+      }
+      const next = runs.find(run => run.hasBegun);
+      if (next === undefined || !isTurn()) {
+        await clock.sleep(TURN_POLL_MILLISECONDS);
+        continue;
+      }
+      await next.moveAway(entry);
+      moved += 1;
+      onMoved();
     }
-    const leaving = this.findMovable(entry.id);
-    logger.info('evacuation', {
-      endpoint: entry.id,
-      runs: leaving.length,
-      waited: Math.round(clock.now() - startedAt),
-    });
-    for (const session of leaving) {
-      await session.moveAway(entry);
+    if (moved > 0) {
+      const milliseconds = Math.round(clock.now() - startedAt);
+      logger.info('evacuation', {endpoint: entry.id, moved, milliseconds});
     }
-    this.evacuated.add(entry.id);
-    runTask('evacuated', logger, async () => {
-      await clock.sleep(EVACUATED_MEMORY_MILLISECONDS);
-      this.evacuated.delete(entry.id);
-    });
   }
 
   private findMovable(endpointId: string): StreamSession[] {
@@ -166,12 +166,8 @@
 
   private countMovableRuns(): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
-    for (const {endpointId, isMovable} of this.sessions) {
-      if (
-        isMovable &&
-        endpointId !== undefined &&
-        !this.evacuated.has(endpointId)
-      ) {
+    for (const {endpointId, isMovable, hasBegun} of this.sessions) {
+      if (isMovable && hasBegun && endpointId !== undefined) {
         counts.set(endpointId, (counts.get(endpointId) ?? 0) + 1);
       }
     }
--- a/packages/forwarding/src/stream_leg/stream_leg.ts
+++ b/packages/forwarding/src/stream_leg/stream_leg.ts
@@ -29,8 +29,8 @@
   readonly abort: () => void;
   /** Endpoint that keeps a checkpoint of this run. */
   readonly checkpointHolder?: EndpointEntry;
-  /** Memory counted at the endpoint and at the holder, in tokens. */
-  readonly memoryTokens: number;
+  /** Work that is counted at the endpoint, until it is released. */
+  readonly release: () => void;
   /** Pause after which it counts as silent; absent for never. */
   readonly silenceMilliseconds?: number;
   /**
@@ -45,7 +45,6 @@
 export class StreamLeg {
   readonly endpoint: EndpointEntry;
   readonly checkpointHolder?: EndpointEntry;
-  readonly memoryTokens: number;
   private readonly splitter = new EventSplitter();
   private silence: NodeJS.Timeout | undefined;
   private end: ((end: LegEnd) => void) | undefined;
@@ -57,7 +56,6 @@
   constructor(private readonly options: StreamLegOptions) {
     this.endpoint = options.endpoint;
     this.checkpointHolder = options.checkpointHolder;
-    this.memoryTokens = options.memoryTokens;
   }
 
   /**
@@ -71,6 +69,7 @@
       this.end = end => {
         this.end = undefined;
         clearTimeout(this.silence);
+        this.options.release();
         resolve(end);
       };
       response.on('data', (chunk: Buffer) => this.take(chunk));
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -22,6 +22,7 @@
 import {
   answerExchange,
   findUntried,
+  rankUrgency,
   remainingMilliseconds,
   type Exchange,
   type ExchangeEnd,
@@ -73,11 +74,15 @@
  */
 export class StreamSession {
   private leg: StreamLeg | undefined;
+  /** Endpoint that the request was sent to and that has not answered yet. */
+  private opening: EndpointEntry | undefined;
   private lastEventId: string | undefined;
   private events = 0;
   private firstMilliseconds: number | undefined;
   private sends = 0;
   private moves = 0;
+  /** Engines that the run could not be moved off. */
+  private readonly keptAt = new Set<string>();
   /** The move that has stopped the run, or is about to. */
   private move: Promise<MoveResult> | undefined;
 
@@ -92,7 +97,12 @@
 
   /** Endpoint that produces the stream now. */
   get endpointId(): string | undefined {
-    return this.leg?.endpoint.id;
+    return this.leg?.endpoint.id ?? this.opening?.id;
+  }
+
+  /** True once the run has a memory that can be copied. */
+  get hasBegun(): boolean {
+    return this.leg !== undefined && this.events > 0;
   }
 
   /**
@@ -115,7 +125,6 @@
       this.leg = leg;
       const end = await leg.run();
       this.leg = undefined;
-      this.release(leg);
       const moved = await this.takeMove();
       if (moved !== undefined) {
         opened = await this.openMoved(leg, moved);
@@ -137,10 +146,14 @@
     }
   }
 
-  /** True when the run can be moved to another engine. */
+  /** True when the run should be moved if its engine leaves. */
   get isMovable(): boolean {
     const {service, route} = this.exchange;
-    return service.engine?.supportsMoves === true && !route.isResumable;
+    return (
+      service.engine?.supportsMoves === true &&
+      !route.isResumable &&
+      !this.keptAt.has(this.endpointId ?? '')
+    );
   }
 
   /** Tokens that the generation is expected to produce from now on. */
@@ -177,6 +190,7 @@
     );
     const result = await moved;
     if (result.kind === 'kept' && isThere()) {
+      this.keptAt.add(source.id);
       parts.logger.info('move_failed', {
         request: requestId,
         source: source.id,
@@ -325,11 +339,8 @@
     const {endpoint} = continuation;
     const controller = new AbortController();
     const holder = chooseCheckpointHolder(exchange, parts, endpoint);
-    const memoryTokens = estimateMemoryTokens(exchange);
-    parts.loads.add(endpoint.id, 1, memoryTokens);
-    if (holder !== undefined) {
-      parts.loads.add(holder.id, 0, memoryTokens);
-    }
+    const counted = this.countWork(endpoint, holder, continuation);
+    this.opening = endpoint;
     const result = await parts.client.send({
       endpoint,
       method: exchange.request.method ?? 'POST',
@@ -341,6 +352,7 @@
           endpointId: endpoint.id,
           remainingMilliseconds: remainingMilliseconds(exchange, parts.clock),
           organisation: exchange.organisation?.name,
+          urgency: rankUrgency(exchange),
           checkpointAt: holder,
           lastEventId: this.lastEventId,
           memorySource: continuation.memorySource,
@@ -351,36 +363,68 @@
       mayReuseConnection: false,
       signal: AbortSignal.any([exchange.signal, controller.signal]),
     });
+    this.opening = undefined;
     this.sends += result.kind === 'not_sent' ? 0 : 1;
-    if (isStream(result)) {
-      const leg = new StreamLeg({
-        endpoint,
-        response: result.response,
-        isWhole: result.isWhole,
-        abort: () => controller.abort(),
-        checkpointHolder: holder,
-        memoryTokens,
-        onEvent: event => this.forward(event, result.response),
-      });
-      return {kind: 'leg', leg};
+    if (!isStream(result)) {
+      counted.release();
+      parts.loads.note(endpoint.id, true);
+      return readFailure(result);
     }
-    this.releaseMemory(endpoint, holder, memoryTokens);
-    return readFailure(result);
-  }
-
-  private release(leg: StreamLeg): void {
-    this.releaseMemory(leg.endpoint, leg.checkpointHolder, leg.memoryTokens);
+    const leg = new StreamLeg({
+      endpoint,
+      response: result.response,
+      isWhole: result.isWhole,
+      abort: () => controller.abort(),
+      checkpointHolder: holder,
+      release: counted.release,
+      onEvent: event => {
+        counted.noteFirstEvent();
+        return this.forward(event, result.response);
+      },
+    });
+    return {kind: 'leg', leg};
   }
 
-  private releaseMemory(
+  /** Counts the work at an engine until it is released. */
+  private countWork(
     endpoint: EndpointEntry,
     holder: EndpointEntry | undefined,
-    tokens: number,
-  ): void {
-    this.parts.loads.add(endpoint.id, -1, -tokens);
+    {memorySource}: Continuation,
+  ): {noteFirstEvent: () => void; release: () => void} {
+    const {exchange, parts} = this;
+    const {loads, clock} = parts;
+    const tokens = estimateMemoryTokens(exchange);
+    const promptTokens =
+      memorySource === undefined ? exchange.facts.promptTokens : 0;
+    const ahead = loads.promptTokensAt(endpoint.id);
+    const sentAt = clock.now();
+    loads.add(endpoint.id, {requests: 1, tokens, promptTokens});
     if (holder !== undefined) {
-      this.parts.loads.add(holder.id, 0, -tokens);
+      loads.add(holder.id, {tokens});
     }
+    let isRead = false;
+    const endReading = () => {
+      if (!isRead) {
+        isRead = true;
+        loads.remove(endpoint.id, {promptTokens});
+      }
+    };
+    return {
+      noteFirstEvent: () => {
+        if (!isRead && promptTokens > 0) {
+          const read = ahead + promptTokens;
+          loads.noteFirstEvent(endpoint.id, read, clock.now() - sentAt);
+        }
+        endReading();
+      },
+      release: () => {
+        endReading();
+        loads.remove(endpoint.id, {requests: 1, tokens});
+        if (holder !== undefined) {
+          loads.remove(holder.id, {tokens});
+        }
+      },
+    };
   }
 
   private forward(
--- a/packages/scheduling/src/decide_evacuation_turn/decide_evacuation_turn.test.ts
+++ b/packages/scheduling/src/decide_evacuation_turn/decide_evacuation_turn.test.ts
@@ -22,11 +22,13 @@
   gateway: string,
   peers: readonly EvacuationPeer[],
   waitedMilliseconds = 0,
+  stalledMilliseconds = 0,
 ): boolean {
   return decideEvacuationTurn(peers, {
     gateway,
     order: ORDER,
     waitedMilliseconds,
+    stalledMilliseconds,
   });
 }
 
@@ -58,10 +60,14 @@
       assert.equal(decide('second', [silent]), true);
     });
 
-    it('is waited for no longer than its runs would take', () => {
+    it('is waited for while its runs become fewer', () => {
       const peers = [createPeer('first', {movableRuns: 2})];
-      assert.equal(decide('second', peers, 300), false);
-      assert.equal(decide('second', peers, 800), true);
+      assert.equal(decide('second', peers, 900, 100), false);
+    });
+
+    it('is waited for no longer than one run would take', () => {
+      const peers = [createPeer('first', {movableRuns: 2})];
+      assert.equal(decide('second', peers, 600, 600), true);
     });
 
     it('never takes the time that is needed for a move', () => {
--- a/packages/scheduling/src/decide_evacuation_turn/decide_evacuation_turn.ts
+++ b/packages/scheduling/src/decide_evacuation_turn/decide_evacuation_turn.ts
@@ -19,6 +19,8 @@
   readonly order: readonly string[];
   /** Time since this gateway learned that the engine leaves. */
   readonly waitedMilliseconds: number;
+  /** Time since the runs of the gateways ahead became fewer. */
+  readonly stalledMilliseconds: number;
 }
 
 /**
@@ -27,8 +29,11 @@
  */
 const SILENT_PEER_MILLISECONDS = 900;
 
-/** Time for one run on an idle link: a few thousand tokens and a last copy. */
-const EXPECTED_MOVE_MILLISECONDS = 260;
+/**
+ * Time in which a gateway moves one run: a few thousand tokens on a link that
+ * is also used by the copies of another engine.
+ */
+const EXPECTED_MOVE_MILLISECONDS = 500;
 
 /** Longest wait for all others: the shortest notice less a move of one's own. */
 const MAXIMUM_WAIT_MILLISECONDS = 1_100;
@@ -39,22 +44,38 @@
  * The copies of one engine share its link, and the short last copy of one run
  * must not queue behind the long first copy of another. The gateways therefore
  * go one after another, in an order that all compute alike. Where they see
- * different things, two copy at once, which only costs time; a gateway that is
- * gone is waited for no longer than its runs would take.
+ * different things, two copy at once, which only costs time; a gateway that
+ * makes no progress is waited for no longer than one run would take.
  *
  * @param peers - Other gateways with runs on the engine
  * @param options - Who asks, and the order
  * @returns True when it is this gateway's turn
  *
  * @example
- * decideEvacuationTurn([], {gateway: 'a', order: ['a'], waitedMilliseconds: 0});
- * //=> true
+ * decideEvacuationTurn([], {gateway: 'a', order: ['a'], waitedMilliseconds: 0,
+ *   stalledMilliseconds: 0}); //=> true
  */
 export function decideEvacuationTurn(
   peers: readonly EvacuationPeer[],
   options: EvacuationTurnOptions,
 ): boolean {
-  const {gateway, order, waitedMilliseconds} = options;
+  return (
+    countRunsAhead(peers, options) === 0 ||
+    options.stalledMilliseconds >= EXPECTED_MOVE_MILLISECONDS ||
+    options.waitedMilliseconds >= MAXIMUM_WAIT_MILLISECONDS
+  );
+}
+
+/**
+ * Counts the runs of the gateways that go first.
+ *
+ * @param peers - Other gateways with runs on the engine
+ * @param options - Who asks, and the order
+ */
+export function countRunsAhead(
+  peers: readonly EvacuationPeer[],
+  {gateway, order}: Pick<EvacuationTurnOptions, 'gateway' | 'order'>,
+): number {
   const own = order.indexOf(gateway);
   let runsAhead = 0;
   for (const peer of peers) {
@@ -63,9 +84,5 @@
       runsAhead += peer.movableRuns;
     }
   }
-  const limit = Math.min(
-    MAXIMUM_WAIT_MILLISECONDS,
-    runsAhead * EXPECTED_MOVE_MILLISECONDS + EXPECTED_MOVE_MILLISECONDS,
-  );
-  return runsAhead === 0 || waitedMilliseconds >= limit;
+  return runsAhead;
 }
--- a/packages/scheduling/src/select_endpoint/select_endpoint.test.ts
+++ b/packages/scheduling/src/select_endpoint/select_endpoint.test.ts
@@ -16,9 +16,10 @@
     slots: 8,
     usedTokens: 0,
     memoryTokens: Number.POSITIVE_INFINITY,
+    evacuationShare: 0,
     hopMilliseconds: 0,
     failureShare: 0,
-    latencyMilliseconds: 20,
+    waitMilliseconds: 20,
     ...change,
   };
 }
@@ -40,7 +41,7 @@
   });
 
   it('goes further when the nearer one has a queue', () => {
-    const near = createState('near', {open: 30, latencyMilliseconds: 40});
+    const near = createState('near', {waitMilliseconds: 80});
     const far = createState('far', {hopMilliseconds: 24});
     assert.equal(select([near, far]), 'far');
   });
@@ -71,6 +72,31 @@
     });
   });
 
+  describe('with engines that leave', () => {
+    const memoryTokens = 30_000;
+
+    it('prefers one whose neighbours have room for its work', () => {
+      const alone = createState('alone', {memoryTokens, evacuationShare: 2});
+      const near = createState('near', {
+        memoryTokens,
+        usedTokens: 10_000,
+        evacuationShare: 0.5,
+        hopMilliseconds: 24,
+      });
+      assert.equal(select([alone, near], 4_000), 'near');
+    });
+
+    it('does not fill an engine for that', () => {
+      const alone = createState('alone', {memoryTokens, evacuationShare: 2});
+      const full = createState('full', {
+        memoryTokens,
+        usedTokens: 29_000,
+        evacuationShare: 0.5,
+      });
+      assert.equal(select([alone, full], 4_000), 'alone');
+    });
+  });
+
   it('spreads equal endpoints over gateways', () => {
     const states = ['a', 'b', 'c'].map(id => createState(id));
     const draws = [0.9, 0.1, 0.5];
--- a/packages/scheduling/src/select_endpoint/select_endpoint.ts
+++ b/packages/scheduling/src/select_endpoint/select_endpoint.ts
@@ -13,12 +13,17 @@
   readonly usedTokens: number;
   /** Memory of an engine, in tokens; infinite for plain services. */
   readonly memoryTokens: number;
+  /**
+   * Part of the memory of its neighbours that would be taken if it left and
+   * its work moved to them; 0 for plain services.
+   */
+  readonly evacuationShare: number;
   /** Time to reach it and back, in milliseconds. */
   readonly hopMilliseconds: number;
   /** Part of its recent answers that were failures, 0 to 1. */
   readonly failureShare: number;
-  /** Recent time to an answer, or to the first event, in milliseconds. */
-  readonly latencyMilliseconds: number;
+  /** Predicted time to an answer or a first event, in milliseconds. */
+  readonly waitMilliseconds: number;
 }
 
 /** Options of {@link selectEndpoint}. */
@@ -38,6 +43,19 @@
 /** Cost of one memory beyond the crowded share; a preemption stalls seconds. */
 const PREEMPTION_COST_MILLISECONDS = 5_000;
 
+/**
+ * Part of the neighbours' memory above which some runs would find no room if
+ * the engine left: estimates of the lengths are off by about as much as the
+ * rest.
+ */
+const CROWDED_EVACUATION_SHARE = 0.8;
+
+/** Cost of one memory beyond that share: a run that is cut is lost whole. */
+const EVACUATION_COST_MILLISECONDS = 500;
+
+/** Share at which the neighbours have no room at all. */
+const MAXIMUM_EVACUATION_SHARE = 2;
+
 /** Cost of filling all slots: steps of a full batch take about this longer. */
 const BATCH_COST_MILLISECONDS = 40;
 
@@ -50,8 +68,8 @@
 /**
  * Selects the endpoint with the smallest expected cost.
  *
- * The cost is a time: the hop, the queue ahead, the slowing by a larger batch,
- * and the risk of a preemption or of a failed attempt.
+ * The cost is a time: the hop, the predicted wait, the slowing by a larger
+ * batch, and the risk of a preemption, of a cut or of a failed attempt.
  *
  * @param candidates - Endpoints that may be used
  * @param options - Source of randomness and size of the request
@@ -79,16 +97,20 @@
 }
 
 function estimateCost(candidate: EndpointState, neededTokens: number): number {
-  const queued = Math.max(0, candidate.open + 1 - candidate.slots);
   const batch = Math.min(1, candidate.open / candidate.slots);
   const memory = (candidate.usedTokens + neededTokens) / candidate.memoryTokens;
   return (
     candidate.hopMilliseconds +
-    candidate.latencyMilliseconds * (queued / candidate.slots) +
-    candidate.latencyMilliseconds +
+    candidate.waitMilliseconds +
     batch * BATCH_COST_MILLISECONDS +
     memory * MEMORY_COST_MILLISECONDS +
     Math.max(0, memory - CROWDED_MEMORY_SHARE) * PREEMPTION_COST_MILLISECONDS +
+    excessEvacuation(candidate) * EVACUATION_COST_MILLISECONDS +
     candidate.failureShare * FAILURE_COST_MILLISECONDS
   );
 }
+
+function excessEvacuation({evacuationShare}: EndpointState): number {
+  const bounded = Math.min(MAXIMUM_EVACUATION_SHARE, evacuationShare);
+  return Math.max(0, bounded - CROWDED_EVACUATION_SHARE);
+}
