Stop a run after one copy on an idle link, and hand the link over early

Cause: on an idle link the rounds after the first bring nothing, and between two gateways the link of an engine that leaves stood idle for a round trip.

Change: the last copy follows the first one when that took as long as on an idle link; the link is handed over 25 ms after the last copy was asked for.

--- a/packages/forwarding/src/dialect/dialect.ts
+++ b/packages/forwarding/src/dialect/dialect.ts
@@ -137,10 +137,7 @@
   dropCopy(call: DropCopyCall): Promise<void>;
 
   /** Reads the report of an engine; undefined when there is none. */
-  readReport(
-    endpoint: EndpointAddress,
-    signal: AbortSignal,
-  ): Promise<EngineReport | undefined>;
+  readReport(endpoint: EndpointAddress): Promise<EngineReport | undefined>;
 }
 
 /** Address of an endpoint. */
--- a/packages/forwarding/src/run_evacuation/run_evacuation.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.ts
@@ -25,6 +25,8 @@
   readonly source: EndpointEntry;
   /** Longest pause between events that the caller expects. */
   readonly targetGapMilliseconds: number;
+  /** How long a first copy takes on an idle link, in milliseconds. */
+  readonly idleLinkMilliseconds: number;
   /** False once the run has ended or is on another engine. */
   readonly isThere: () => boolean;
   /** Chooses where it goes; undefined when there is no room anywhere. */
@@ -104,11 +106,11 @@
           return {kind: 'stopped', target, memorySource: {host, port, handle}};
         }
         rounds += 1;
-        const {targetGapMilliseconds} = run;
         stop = decideLastCopy({
           rounds,
           durationMilliseconds,
-          targetGapMilliseconds,
+          idleLinkMilliseconds: run.idleLinkMilliseconds,
+          targetGapMilliseconds: run.targetGapMilliseconds,
         });
         break;
       }
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -5,6 +5,7 @@
 
 import type {EndpointEntry} from '@briarpin/coordination';
 import {decideRetry} from '@briarpin/scheduling';
+import {runTask} from '@briarpin/telemetry';
 
 import {
   chooseCheckpointHolder,
@@ -38,6 +39,15 @@
 /** When a caller may come back whose generation found no room. */
 const CROWDED_RETRY_MILLISECONDS = 500;
 
+/**
+ * Time after which a last copy is ahead of those that other gateways ask for:
+ * about a round trip between two regions.
+ */
+const HANDOVER_MILLISECONDS = 25;
+
+const BITS_PER_BYTE = 8;
+const BITS_PER_MILLISECOND_AND_MEGABIT = 1_000;
+
 /** Statuses of an answer that holds a stream. */
 const FIRST_SUCCESS_STATUS = 200;
 const LAST_SUCCESS_STATUS = 299;
@@ -83,6 +93,8 @@
   private moves = 0;
   /** Engines that the run could not be moved off. */
   private readonly keptAt = new Set<string>();
+  /** True while the last copy runs and another run may use the link. */
+  private isHandedOver = false;
   /** The move that has stopped the run, or is about to. */
   private move: Promise<MoveResult> | undefined;
 
@@ -152,6 +164,7 @@
     return (
       service.engine?.supportsMoves === true &&
       !route.isResumable &&
+      !this.isHandedOver &&
       !this.keptAt.has(this.endpointId ?? '')
     );
   }
@@ -168,7 +181,7 @@
    * Moves the generation away from an engine that is leaving.
    *
    * @param source - The engine
-   * @returns When the move has ended, in whatever way
+   * @returns When its link is free for the copy of another run
    */
   async moveAway(source: EndpointEntry): Promise<void> {
     const {exchange, parts, leg} = this;
@@ -177,26 +190,58 @@
     if (requestId === undefined || !this.isMovable || !isThere()) {
       return;
     }
-    const moved = moveRun(
-      {
-        requestId,
-        source,
-        targetGapMilliseconds: exchange.route.targetGapMilliseconds,
-        isThere,
-        chooseTarget: excluded => this.chooseMoveTarget(source, excluded),
-      },
-      parts,
-      () => (this.move = moved),
-    );
-    const result = await moved;
-    if (result.kind === 'kept' && isThere()) {
-      this.keptAt.add(source.id);
-      parts.logger.info('move_failed', {
-        request: requestId,
-        source: source.id,
-        reason: result.reason,
+    await new Promise<void>(resolve => {
+      const moved = moveRun(
+        {
+          requestId,
+          source,
+          targetGapMilliseconds: exchange.route.targetGapMilliseconds,
+          idleLinkMilliseconds: this.estimateCopyMilliseconds(),
+          isThere,
+          chooseTarget: excluded => this.chooseMoveTarget(source, excluded),
+        },
+        parts,
+        () => {
+          this.move = moved;
+          runTask('handover', parts.logger, async () => {
+            await parts.clock.sleep(HANDOVER_MILLISECONDS);
+            resolve();
+          });
+        },
+      );
+      runTask('move', parts.logger, async () => {
+        const result = await moved;
+        if (result.kind === 'kept' && isThere()) {
+          this.keepAt(source, result.reason);
+        }
+        resolve();
       });
+    });
+    this.isHandedOver = true;
+  }
+
+  private keepAt(source: EndpointEntry, reason: string): void {
+    this.keptAt.add(source.id);
+    this.parts.logger.info('move_failed', {
+      request: this.exchange.facts.requestId,
+      source: source.id,
+      reason,
+    });
+  }
+
+  /** Time for a copy of the whole memory on an idle link. */
+  private estimateCopyMilliseconds(): number {
+    const {exchange} = this;
+    const {engine} = exchange.service;
+    if (engine === undefined) {
+      return 0;
     }
+    const tokens =
+      exchange.facts.promptTokens + this.events * engine.tokensPerEvent;
+    const bits = tokens * engine.bytesPerToken * BITS_PER_BYTE;
+    const bitsPerMillisecond =
+      engine.copyLinkMegabitsPerSecond * BITS_PER_MILLISECOND_AND_MEGABIT;
+    return bits / bitsPerMillisecond;
   }
 
   /** The engine that holds a checkpoint comes first: little is left to copy. */
@@ -291,6 +336,7 @@
   private async takeMove(): Promise<StoppedRun | undefined> {
     const result = await this.move;
     this.move = undefined;
+    this.isHandedOver = false;
     return result === undefined || result.kind === 'kept' ? undefined : result;
   }
 
