Try runs again that found no room, and copy to other regions last

Change: only the last run on an engine may be copied to another region; a run without room is tried again every 120 ms while the engine lives.

--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -290,10 +290,6 @@
 ): Promise<void> {
   mesh.tell();
   const turn = new EvacuationTurn(entry.id, mesh, STEADY_CLOCK);
-  await gateway.evacuate(
-    entry,
-    () => turn.hasCome(),
-    () => mesh.tell(),
-  );
+  await gateway.evacuate(entry, turn, () => mesh.tell());
   mesh.tell();
 }
--- a/packages/forwarding/src/choose_placement/choose_placement.ts
+++ b/packages/forwarding/src/choose_placement/choose_placement.ts
@@ -2,7 +2,7 @@
  * Where a generation runs, and where its checkpoint is kept.
  */
 import type {EndpointEntry, EngineProfile} from '@briarpin/coordination';
-import {selectEndpoint} from '@briarpin/scheduling';
+import {selectEndpoint, type EndpointState} from '@briarpin/scheduling';
 
 import type {EndpointChoice} from '../endpoint_loads/endpoint_loads.js';
 import type {Exchange, ForwardingParts} from '../exchange/exchange.js';
@@ -89,47 +89,54 @@
   const candidates = parts.endpoints
     .findReady(exchange.service.name)
     .filter(entry => entry.id !== source.id);
-  return chooseCopyTarget(exchange, parts, source, candidates);
+  return chooseCopyTarget(exchange, parts, source, {
+    candidates,
+    mayLeaveRegion: false,
+  });
 }
 
 /**
  * Chooses an engine that a generation's memory is copied to: in the zone of
  * its source if any has room there, then in its region. A copy to another
- * region takes longer than an engine's notice and holds up the copies behind
- * it, so such an engine is taken only where there is no other.
+ * region takes about as long as an engine's notice and holds up the copies
+ * behind it, so such an engine is taken only when it is asked for.
  *
  * @param exchange - The request
  * @param parts - Parts of the gateway
  * @param source - Engine that holds the memory
- * @param candidates - Engines that may be used
+ * @param options - Which engines may be used
  * @returns The engine; undefined when there is none
  */
 export function chooseCopyTarget(
   exchange: Exchange,
   parts: ForwardingParts,
   source: EndpointEntry,
-  candidates: readonly EndpointEntry[],
+  options: {
+    readonly candidates: readonly EndpointEntry[];
+    readonly mayLeaveRegion: boolean;
+  },
 ): EndpointEntry | undefined {
   const neededTokens = estimateMemoryTokens(exchange);
   const states = parts.loads
-    .describe(candidates, exchange.service)
+    .describe(options.candidates, exchange.service)
     .map(state => ({...state, hopMilliseconds: 0}));
-  const roomy = states.filter(
-    state =>
-      state.open < state.slots &&
-      state.usedTokens + neededTokens <= state.memoryTokens,
-  );
   const {availabilityZone} = source;
   const region = parts.regionOf(availabilityZone);
-  const isInZone = ({entry}: EndpointChoice) =>
-    entry.availabilityZone === availabilityZone;
-  const isInRegion = ({entry}: EndpointChoice) =>
-    parts.regionOf(entry.availabilityZone) === region;
+  const zone = states.filter(
+    ({entry}) => entry.availabilityZone === availabilityZone,
+  );
+  const neighbours = states.filter(
+    ({entry}) => parts.regionOf(entry.availabilityZone) === region,
+  );
+  const hasRoom = (state: EndpointState) =>
+    state.open < state.slots &&
+    state.usedTokens + neededTokens <= state.memoryTokens;
   const groups = [
-    roomy.filter(isInZone),
-    roomy.filter(isInRegion),
-    states.filter(isInZone),
-    roomy,
+    zone.filter(hasRoom),
+    neighbours.filter(hasRoom),
+    zone,
+    neighbours,
+    options.mayLeaveRegion ? states.filter(hasRoom) : [],
   ];
   const group = groups.find(found => found.length > 0) ?? [];
   return selectEndpoint(group, {random: parts.random, neededTokens})?.entry;
--- a/packages/forwarding/src/evacuation_turn/evacuation_turn.ts
+++ b/packages/forwarding/src/evacuation_turn/evacuation_turn.ts
@@ -35,6 +35,11 @@
     this.progressedAt = this.startedAt;
   }
 
+  /** True when no other gateway has runs there. */
+  isAlone(): boolean {
+    return this.peers.findPeersWithRuns(this.endpointId).length === 0;
+  }
+
   /** True when this gateway may copy. */
   hasCome(): boolean {
     const now = this.clock.now();
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -23,6 +23,7 @@
 import {forwardCall} from '../forward_call/forward_call.js';
 import {sendOwnAnswer, type OwnAnswer} from '../own_answers/own_answers.js';
 import {readBody} from '../read_body/read_body.js';
+import type {EvacuationTurn} from '../evacuation_turn/evacuation_turn.js';
 import {StreamSession} from '../stream_session/stream_session.js';
 
 /** Largest head of a request; operators bound it further. */
@@ -124,28 +125,28 @@
    * notice came are waited for.
    *
    * @param entry - The endpoint
-   * @param isTurn - False while another gateway copies
+   * @param turn - When this gateway may copy
    * @param onMoved - Told after each run
    */
   async evacuate(
     entry: EndpointEntry,
-    isTurn: () => boolean,
+    turn: Pick<EvacuationTurn, 'hasCome' | 'isAlone'>,
     onMoved: () => void,
   ): Promise<void> {
     const {clock, logger} = this.parts;
     const startedAt = clock.now();
     let moved = 0;
     while (clock.now() - startedAt < EVACUATION_MILLISECONDS) {
-      const runs = this.findMovable(entry.id);
+      const runs = this.findRuns(entry.id);
       if (runs.length === 0) {
         break;
       }
-      const next = runs.find(run => run.hasBegun);
-      if (next === undefined || !isTurn()) {
+      const next = runs.find(run => run.hasBegun && run.isMovable);
+      if (next === undefined || !turn.hasCome()) {
         await clock.sleep(TURN_POLL_MILLISECONDS);
         continue;
       }
-      await next.moveAway(entry);
+      await next.moveAway(entry, runs.length === 1 && turn.isAlone());
       moved += 1;
       onMoved();
     }
@@ -155,9 +156,12 @@
     }
   }
 
-  private findMovable(endpointId: string): StreamSession[] {
+  /** Runs at an engine that should not end with it, largest rest first. */
+  private findRuns(endpointId: string): StreamSession[] {
     return [...this.sessions]
-      .filter(session => session.isMovable && session.endpointId === endpointId)
+      .filter(
+        session => session.endpointId === endpointId && session.endsWithEngine,
+      )
       .sort(
         (left, right) =>
           right.expectedRemainingTokens - left.expectedRemainingTokens,
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -45,6 +45,9 @@
  */
 const HANDOVER_MILLISECONDS = 25;
 
+/** Pause before a run is moved again that found no room: room comes soon. */
+const KEPT_MILLISECONDS = 120;
+
 const BITS_PER_BYTE = 8;
 const BITS_PER_MILLISECOND_AND_MEGABIT = 1_000;
 
@@ -91,8 +94,8 @@
   private firstMilliseconds: number | undefined;
   private sends = 0;
   private moves = 0;
-  /** Engines that the run could not be moved off. */
-  private readonly keptAt = new Set<string>();
+  /** When a run that found no room is tried again, by the clock. */
+  private keptUntil = Number.NEGATIVE_INFINITY;
   /** True while the last copy runs and another run may use the link. */
   private isHandedOver = false;
   /** The move that has stopped the run, or is about to. */
@@ -158,14 +161,18 @@
     }
   }
 
-  /** True when the run should be moved if its engine leaves. */
-  get isMovable(): boolean {
+  /** True when the stream would be lost with its engine, unless it is moved. */
+  get endsWithEngine(): boolean {
     const {service, route} = this.exchange;
+    return service.engine?.supportsMoves === true && !route.isResumable;
+  }
+
+  /** True when the run should be moved now if its engine leaves. */
+  get isMovable(): boolean {
     return (
-      service.engine?.supportsMoves === true &&
-      !route.isResumable &&
+      this.endsWithEngine &&
       !this.isHandedOver &&
-      !this.keptAt.has(this.endpointId ?? '')
+      this.parts.clock.now() >= this.keptUntil
     );
   }
 
@@ -181,9 +188,10 @@
    * Moves the generation away from an engine that is leaving.
    *
    * @param source - The engine
+   * @param isAlone - True when no other run is to be moved off it
    * @returns When its link is free for the copy of another run
    */
-  async moveAway(source: EndpointEntry): Promise<void> {
+  async moveAway(source: EndpointEntry, isAlone: boolean): Promise<void> {
     const {exchange, parts, leg} = this;
     const {requestId} = exchange.facts;
     const isThere = () => this.leg === leg && leg?.endpoint.id === source.id;
@@ -198,7 +206,8 @@
           targetGapMilliseconds: exchange.route.targetGapMilliseconds,
           idleLinkMilliseconds: this.estimateCopyMilliseconds(),
           isThere,
-          chooseTarget: excluded => this.chooseMoveTarget(source, excluded),
+          chooseTarget: excluded =>
+            this.chooseMoveTarget(source, excluded, isAlone),
         },
         parts,
         () => {
@@ -212,7 +221,7 @@
       runTask('move', parts.logger, async () => {
         const result = await moved;
         if (result.kind === 'kept' && isThere()) {
-          this.keepAt(source, result.reason);
+          this.keep(source, result.reason);
         }
         resolve();
       });
@@ -220,8 +229,8 @@
     this.isHandedOver = true;
   }
 
-  private keepAt(source: EndpointEntry, reason: string): void {
-    this.keptAt.add(source.id);
+  private keep(source: EndpointEntry, reason: string): void {
+    this.keptUntil = this.parts.clock.now() + KEPT_MILLISECONDS;
     this.parts.logger.info('move_failed', {
       request: this.exchange.facts.requestId,
       source: source.id,
@@ -248,15 +257,16 @@
   private chooseMoveTarget(
     source: EndpointEntry,
     excluded: readonly string[],
+    mayLeaveRegion: boolean,
   ): EndpointEntry | undefined {
     const {exchange, parts} = this;
-    const ready = parts.endpoints
+    const candidates = parts.endpoints
       .findReady(exchange.service.name)
       .filter(entry => entry.id !== source.id && !excluded.includes(entry.id));
     const holder = this.leg?.checkpointHolder;
     return (
-      ready.find(entry => entry.id === holder?.id) ??
-      chooseCopyTarget(exchange, parts, source, ready)
+      candidates.find(entry => entry.id === holder?.id) ??
+      chooseCopyTarget(exchange, parts, source, {candidates, mayLeaveRegion})
     );
   }
 
