Bound the log, never wait for its reader, and serve metrics

Cause: on-call engineers have logs and metrics only; a write to a pipe blocks a Node process with its reader, and nothing bounded the lines.

Change: lines go through a stream that drops and counts them when 256 KB wait; past 200 lines a second requests are sampled whole by identifier, failures and beliefs are kept; counters, gauges and latencies in the Prometheus format at the second internal port.

--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -126,6 +126,12 @@
     }
   }
 
+  /** Endpoints of all services that take new work. */
+  get readyCount(): number {
+    const entries = [...this.known.values()].map(known => known.entry);
+    return entries.filter(entry => entry.state === 'ready').length;
+  }
+
   /** The entry of an endpoint. */
   find(id: string): EndpointEntry | undefined {
     return this.known.get(id)?.entry;
--- a/packages/daemon/src/machine/run_on_machine.ts
+++ b/packages/daemon/src/machine/run_on_machine.ts
@@ -3,10 +3,13 @@
  */
 import {readInstanceSettings} from '@briarpin/machines';
 
-import {startMachineGateway} from './wire_machine.js';
+import {openLogStream} from '@briarpin/telemetry';
+
+import {startMachineGateway, type RunningMachine} from './wire_machine.js';
 
 const EXIT_WRONG_USE = 2;
 const EXIT_FAILED = 1;
+const STANDARD_OUTPUT = 1;
 
 /** Reads the machine's settings, serves, and ends on SIGTERM. */
 export async function runOnMachine(): Promise<void> {
@@ -18,16 +21,28 @@
     return;
   }
   try {
-    const running = await startMachineGateway(settings.value);
+    const running = await startMachineGateway(
+      settings.value,
+      openLogStream(STANDARD_OUTPUT),
+    );
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
       process.on(signal, () => {
         void running.shutDown(signal).then(() => process.exit(0));
       });
     }
-    process.on('SIGHUP', () => running.reload());
+    process.on('SIGHUP', () => reload(running));
     running.logger.info('started', {role: 'gateway', pid: process.pid});
   } catch (error) {
     process.stderr.write(`${(error as Error).message}\n`);
     process.exitCode = EXIT_FAILED;
   }
 }
+
+/** Settings that cannot be read leave those in force that were read before. */
+function reload(running: RunningMachine): void {
+  readInstanceSettings(process.env).match({
+    Ok: settings => running.reload(settings),
+    Err: ({file, message}) =>
+      running.logger.error('settings_broken', {file, message}),
+  });
+}
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -2,6 +2,7 @@
  * Builds a gateway on a machine whose platform writes the settings; the one
  * module that constructs its parts.
  */
+import type http from 'node:http';
 import type {AddressInfo} from 'node:net';
 
 import {
@@ -27,10 +28,16 @@
   type InstanceSettings,
 } from '@briarpin/machines';
 import {
+  countEvents,
+  createGatewayMetrics,
   createLogger,
+  DroppingStream,
   HistogramRegistry,
+  limitEvents,
   runTask,
   type EventLogger,
+  type GatewayGauges,
+  type GatewayMetrics,
 } from '@briarpin/telemetry';
 
 import {
@@ -39,6 +46,7 @@
   GATEWAYS_TOPIC,
   type StoreKnowledge,
 } from './follow_store.js';
+import {serveMetrics} from './serve_metrics.js';
 import {serveReadiness} from './serve_readiness.js';
 
 /**
@@ -69,48 +77,143 @@
 const SAME_REGION_HOP_MILLISECONDS = 2;
 const OTHER_REGION_HOP_MILLISECONDS = 24;
 
+/** Lines of the log in a second from which requests are sampled. */
+const LOG_LINES_PER_SECOND = 200;
+
 /** A gateway that is running. */
 export interface RunningMachine {
   readonly logger: EventLogger;
   /** Ports that were bound. */
-  readonly ports: {readonly callers: number; readonly readiness: number};
+  readonly ports: MachinePorts;
   /** Takes changed settings. */
-  readonly reload: () => void;
+  readonly reload: (settings: InstanceSettings) => void;
   /** Finishes what is open within the grace, then ends. */
   readonly shutDown: (reason: string) => Promise<void>;
   /** Ends at once. */
   readonly stop: () => Promise<void>;
 }
 
+/** Ports of a gateway. */
+export interface MachinePorts {
+  readonly callers: number;
+  readonly readiness: number;
+  readonly metrics: number;
+}
+
+/** What the parts of a process share while it runs. */
+interface MachineState {
+  readonly known: StoreKnowledge;
+  readonly guard: ContactGuard;
+  readonly ended: AbortController;
+  isLeaving: boolean;
+}
+
 /**
  * Starts a gateway.
  *
  * @param settings - Settings of the instance
+ * @param logStream - Where its log goes
  * @returns The running gateway
  * @throws Error when an address cannot be bound
  */
 export async function startMachineGateway(
   settings: InstanceSettings,
+  logStream: NodeJS.WritableStream,
 ): Promise<RunningMachine> {
-  const ended = new AbortController();
-  const {signal} = ended;
-  const state = {isLeaving: false};
-  const logger = createLogger({
-    level: 'info',
-    fields: {instance: settings.instance},
-    stream: process.stdout,
-  });
-  const guard = new ContactGuard({
-    steadyMilliseconds: () => performance.now(),
-    wallMilliseconds: () => Date.now(),
+  const state: MachineState = {
+    known: {hasEndpoints: false},
+    guard: new ContactGuard({
+      steadyMilliseconds: () => performance.now(),
+      wallMilliseconds: () => Date.now(),
+    }),
+    ended: new AbortController(),
+    isLeaving: false,
+  };
+  const telemetry = createTelemetry(settings, logStream, {
+    openRequests: () => gateway.openRequests,
+    configurationVersion: () => state.known.configuration?.version ?? 0,
+    storeAgeMilliseconds: () => state.guard.ageMilliseconds(),
+    readyEndpoints: () => parts.endpoints.readyCount,
   });
-  const known: StoreKnowledge = {hasEndpoints: false};
-  const parts = createParts(settings, logger, state, (entry, reason) => {
+  const {logger} = telemetry;
+  const parts = createParts(settings, telemetry, state, (entry, reason) => {
     logger.info('endpoint_leaving', {endpoint: entry.id, reason});
+    parts.loads.forget(entry.id);
     runTask('evacuation', logger, () => evacuate(entry, gateway, mesh));
   });
-  const gateway = createGateway(settings, parts, known, guard);
+  const gateway = createGateway(settings, parts, state);
   const mesh = createMesh(settings, parts, gateway);
+  const servers = await startServers(settings, state, telemetry);
+  const callers = await gateway.listen(settings.callers);
+  const meshPort = await mesh.listen();
+  const running = mesh.run(state.ended.signal);
+  startFollowing(settings, parts, {state, gateway, mesh, meshPort});
+  const stop = async () => {
+    state.ended.abort();
+    gateway.stopListening();
+    gateway.close();
+    servers.close();
+    await running;
+  };
+  return {
+    logger,
+    ports: {callers, ...servers.ports},
+    reload: changed => {
+      const isSame = JSON.stringify(changed) === JSON.stringify(settings);
+      logger.info('settings_reloaded', {changed: !isSame});
+    },
+    shutDown: async reason => {
+      if (state.isLeaving) {
+        return;
+      }
+      state.isLeaving = true;
+      logger.info('leaving', {reason, open: gateway.openRequests});
+      await finishWork(settings, parts, gateway);
+      logger.info('ended', {open: gateway.openRequests});
+      await stop();
+    },
+    stop,
+  };
+}
+
+/** What a process tells about itself. */
+interface Telemetry {
+  readonly logger: EventLogger;
+  readonly histograms: HistogramRegistry;
+  readonly metrics: GatewayMetrics;
+}
+
+function createTelemetry(
+  settings: InstanceSettings,
+  stream: NodeJS.WritableStream,
+  gauges: GatewayGauges,
+): Telemetry {
+  const histograms = new HistogramRegistry(HISTOGRAM_SERIES);
+  const metrics = createGatewayMetrics(histograms, gauges);
+  const lines = createLogger({
+    level: 'info',
+    fields: {instance: settings.instance},
+    stream,
+  });
+  const limited = limitEvents(lines, {
+    linesPerSecond: LOG_LINES_PER_SECOND,
+    now: () => performance.now(),
+    takeDropped: () =>
+      stream instanceof DroppingStream ? stream.takeDropped() : 0,
+  });
+  const logger = countEvents(limited, event => metrics.countEvent(event));
+  return {logger, histograms, metrics};
+}
+
+async function startServers(
+  settings: InstanceSettings,
+  state: MachineState,
+  {metrics}: Telemetry,
+): Promise<{
+  ports: Pick<MachinePorts, 'readiness' | 'metrics'>;
+  close: () => void;
+}> {
+  const {known, guard} = state;
   const isReady = () =>
     !state.isLeaving &&
     known.hasEndpoints &&
@@ -118,36 +221,67 @@
     guard.ageMilliseconds() <
       settings.bounds.revocationMilliseconds * READY_AGE_SHARE;
   const readiness = await serveReadiness(settings.readiness, isReady);
-  const callersPort = await gateway.listen(
-    settings.callers.host,
-    settings.callers.port,
+  const metricsPort =
+    settings.internalPort === undefined ? 0 : settings.internalPort + 1;
+  const metricsServer = await serveMetrics(
+    {host: settings.ip, port: metricsPort},
+    metrics,
   );
+  const servers = [readiness, metricsServer];
+  return {
+    ports: {readiness: portOf(readiness), metrics: portOf(metricsServer)},
+    close: () => {
+      servers.forEach(server => {
+        server.close();
+        server.closeAllConnections();
+      });
+    },
+  };
+}
+
+function portOf(server: http.Server): number {
+  return (server.address() as AddressInfo).port;
+}
+
+interface FollowingParts {
+  readonly state: MachineState;
+  readonly gateway: ForwardingGateway;
+  readonly mesh: GatewayMesh;
+  readonly meshPort: number;
+}
+
+/** Keeps up with the store and tells the other gateways where this one is. */
+function startFollowing(
+  settings: InstanceSettings,
+  parts: ForwardingParts,
+  {state, gateway, mesh, meshPort}: FollowingParts,
+): void {
+  const {clock, random, logger, endpoints, retryBudgets} = parts;
   const store = new KeyedStore(settings.store);
-  const {clock, random} = parts;
+  const {signal} = state.ended;
   followStore({
     store,
     clock,
     random,
     logger,
     signal,
-    known,
-    guard,
-    endpoints: parts.endpoints,
+    known: state.known,
+    guard: state.guard,
+    endpoints,
     onConfiguration: configuration => gateway.applyLimits(configuration.limits),
     onGateways: gateways => {
       mesh.setPeers(gateways);
-      parts.retryBudgets.setGateways(gateways.length);
+      retryBudgets.setGateways(gateways.length);
     },
   });
-  const port = await mesh.listen();
-  const running = mesh.run(signal);
+  const {instance, ip} = settings;
   const registration = encodeGateway({
-    gateway: settings.instance,
-    host: settings.ip,
-    port,
+    gateway: instance,
+    host: ip,
+    port: meshPort,
   });
   runTask('registration', logger, () =>
-    keepRegistered(GATEWAYS_TOPIC, settings.instance, registration, {
+    keepRegistered(GATEWAYS_TOPIC, instance, registration, {
       store,
       clock,
       random,
@@ -155,42 +289,23 @@
       onFailure: message => logger.warn('registration_failed', {message}),
     }),
   );
-  const stop = async () => {
-    ended.abort();
-    gateway.stopListening();
-    gateway.close();
-    readiness.close();
-    readiness.closeAllConnections();
-    await running;
-  };
-  return {
-    logger,
-    ports: {
-      callers: callersPort,
-      readiness: (readiness.address() as AddressInfo).port,
-    },
-    reload: () => logger.info('settings_reloaded'),
-    shutDown: async reason => {
-      if (state.isLeaving) {
-        return;
-      }
-      state.isLeaving = true;
-      logger.info('leaving', {reason, open: gateway.openRequests});
-      const grace =
-        settings.bounds.stopGraceMilliseconds - STOP_RESERVE_MILLISECONDS;
-      await clock.sleep(LEAVING_NOTICE_MILLISECONDS);
-      gateway.stopListening();
-      await gateway.finish(grace - LEAVING_NOTICE_MILLISECONDS);
-      logger.info('ended', {open: gateway.openRequests});
-      await stop();
-    },
-    stop,
-  };
+}
+
+/** Serves callers until they are elsewhere and nothing is open. */
+async function finishWork(
+  {bounds}: InstanceSettings,
+  {clock}: ForwardingParts,
+  gateway: ForwardingGateway,
+): Promise<void> {
+  const grace = bounds.stopGraceMilliseconds - STOP_RESERVE_MILLISECONDS;
+  await clock.sleep(LEAVING_NOTICE_MILLISECONDS);
+  gateway.stopListening();
+  await gateway.finish(grace - LEAVING_NOTICE_MILLISECONDS);
 }
 
 function createParts(
   settings: InstanceSettings,
-  logger: EventLogger,
+  {logger, histograms, metrics}: Telemetry,
   state: {readonly isLeaving: boolean},
   onLeaving: (entry: EndpointEntry, reason: LeavingReason) => void,
 ): ForwardingParts {
@@ -224,7 +339,8 @@
     clock,
     random: Math.random,
     logger,
-    histograms: new HistogramRegistry(HISTOGRAM_SERIES),
+    histograms,
+    metrics,
     isLeaving: () => state.isLeaving,
   };
 }
@@ -242,8 +358,7 @@
 function createGateway(
   settings: InstanceSettings,
   parts: ForwardingParts,
-  known: StoreKnowledge,
-  guard: ContactGuard,
+  {known, guard}: MachineState,
 ): ForwardingGateway {
   const {revocationMilliseconds, configurationMilliseconds} = settings.bounds;
   return new ForwardingGateway(parts, {
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -11,7 +11,11 @@
   RoutedOrganisation,
   RoutedService,
 } from '@briarpin/coordination';
-import type {EventLogger, HistogramRegistry} from '@briarpin/telemetry';
+import type {
+  EventLogger,
+  GatewayMetrics,
+  HistogramRegistry,
+} from '@briarpin/telemetry';
 
 import type {Dialect, RequestFacts} from '../dialect/dialect.js';
 import type {EndpointClient} from '../endpoint_client/endpoint_client.js';
@@ -33,6 +37,7 @@
   readonly random: () => number;
   readonly logger: EventLogger;
   readonly histograms: HistogramRegistry;
+  readonly metrics: Pick<GatewayMetrics, 'countRequest'>;
   /** True once the gateway has been told to stop. */
   readonly isLeaving: () => boolean;
 }
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -21,7 +21,11 @@
   ForwardingParts,
 } from '../exchange/exchange.js';
 import {forwardCall} from '../forward_call/forward_call.js';
-import {sendOwnAnswer, type OwnAnswer} from '../own_answers/own_answers.js';
+import {
+  sendOwnAnswer,
+  toStatus,
+  type OwnAnswer,
+} from '../own_answers/own_answers.js';
 import {readBody} from '../read_body/read_body.js';
 import type {EvacuationTurn} from '../evacuation_turn/evacuation_turn.js';
 import {StreamSession} from '../stream_session/stream_session.js';
@@ -90,7 +94,7 @@
    * @returns The port
    * @throws Error when the address cannot be bound
    */
-  listen(host: string, port: number): Promise<number> {
+  listen({host, port}: {host: string; port: number}): Promise<number> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(port, host, () => {
@@ -328,6 +332,7 @@
     answer: OwnAnswer,
   ): void {
     const {parts} = this;
+    parts.metrics.countRequest(answer.kind, toStatus(answer));
     parts.logger.info('refused', {
       request: facts.requestId,
       kind: answer.kind,
@@ -344,9 +349,16 @@
     const {logger, histograms, clock} = this.parts;
     const {facts, route, organisation, tried} = exchange;
     const milliseconds = Math.round(clock.now() - exchange.arrivedAt);
-    logger.info('request', {
+    this.parts.metrics.countRequest(end.outcome, end.status);
+    const {configuration, ageMilliseconds} = this.options.knowledge();
+    // A request that did not end well is kept whatever the log's budget.
+    const isFailure = end.outcome !== 'done';
+    logger[isFailure ? 'warn' : 'info']('request', {
       request: facts.requestId,
+      organisation: organisation?.name,
       route: route.name,
+      configuration: configuration?.version,
+      age: Math.round(ageMilliseconds),
       outcome: end.outcome,
       status: end.status,
       reason: end.reason,
--- a/packages/stand_ins/src/machine/machine_scene.ts
+++ b/packages/stand_ins/src/machine/machine_scene.ts
@@ -2,6 +2,7 @@
  * A gateway of the users' machines with a store and servers, in one process.
  */
 import http from 'node:http';
+import {Writable} from 'node:stream';
 
 import {
   startMachineGateway,
@@ -57,6 +58,15 @@
   readonly store = new KeyedStoreStandIn();
   readonly desks: ServerStandIn[] = [];
   readonly engines: ServerStandIn[] = [];
+  /** Lines of the gateway's log. */
+  readonly lines: string[] = [];
+  private readonly log = new Writable({
+    decodeStrings: false,
+    write: (line: string, _encoding, done) => {
+      this.lines.push(line);
+      done();
+    },
+  });
   private readonly agent = new http.Agent({keepAlive: false});
   private running: RunningMachine | undefined;
   private version = 0;
@@ -85,6 +95,7 @@
     scene.engines.forEach(server => scene.announce(server, TEXT));
     scene.running = await startMachineGateway(
       createSettings(address, options.bounds),
+      scene.log,
     );
     await scene.waitFor('readiness', () => scene.isReady());
     return scene;
@@ -129,6 +140,12 @@
     return answer.status === 200;
   }
 
+  /** Reads the metrics of the gateway. */
+  async readMetrics(): Promise<string> {
+    const port = this.running?.ports.metrics;
+    return (await this.exchange({path: '/metrics'}, port)).body;
+  }
+
   /** Sends a request with a key to the gateway. */
   send(request: SentRequest): Promise<SeenAnswer> {
     return this.exchange(request, this.running?.ports.callers);
--- /dev/null
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.test.ts
@@ -0,0 +1,36 @@
+/**
+ * Tests of the metrics of a gateway.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {HistogramRegistry} from '../histogram_registry/histogram_registry.js';
+import {createGatewayMetrics} from './gateway_metrics.js';
+
+describe('createGatewayMetrics', () => {
+  it('renders counters, gauges and latencies', async () => {
+    const histograms = new HistogramRegistry(8);
+    const metrics = createGatewayMetrics(histograms, {
+      openRequests: () => 3,
+      configurationVersion: () => 7,
+      storeAgeMilliseconds: () => 120,
+      readyEndpoints: () => 11,
+    });
+    metrics.countRequest('done', 200);
+    metrics.countRequest('done', 200);
+    metrics.countEvent('endpoint_leaving');
+    histograms.record('first_token_milliseconds', 'quilters', 'r-1', 40);
+    const text = await metrics.render();
+    assert.match(
+      text,
+      /briarpin_requests_total\{outcome="done",status="200"\} 2/,
+    );
+    assert.match(text, /briarpin_events_total\{event="endpoint_leaving"\} 1/);
+    assert.match(text, /briarpin_open_requests 3/);
+    assert.match(text, /briarpin_store_age_milliseconds 120/);
+    assert.match(
+      text,
+      /briarpin_latency_milliseconds\{measure="first_token_milliseconds",organisation="quilters",class="r-1",quantile="0.5"\} 40/,
+    );
+  });
+});
--- /dev/null
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.ts
@@ -0,0 +1,117 @@
+/**
+ * Metrics of a gateway in the Prometheus text format.
+ */
+import {Counter, Gauge, Registry} from 'prom-client';
+
+import type {HistogramRegistry} from '../histogram_registry/histogram_registry.js';
+
+/** What a gateway counts. */
+export interface GatewayMetrics {
+  /** Counts a request that has ended. */
+  readonly countRequest: (outcome: string, status: number) => void;
+  /** Counts an event of the log by its name. */
+  readonly countEvent: (event: string) => void;
+  /** All metrics as text. */
+  readonly render: () => Promise<string>;
+  readonly contentType: string;
+}
+
+/** Values that are read when metrics are rendered. */
+export interface GatewayGauges {
+  readonly openRequests: () => number;
+  readonly configurationVersion: () => number;
+  readonly storeAgeMilliseconds: () => number;
+  readonly readyEndpoints: () => number;
+}
+
+/**
+ * Creates the metrics of a gateway.
+ *
+ * The number of series is bounded: outcomes, statuses and names of events are
+ * few, and the histograms have a bound of their own.
+ *
+ * @param histograms - Histograms by organisation and class
+ * @param gauges - Values that are read when metrics are rendered
+ * @returns What counts and renders
+ */
+export function createGatewayMetrics(
+  histograms: HistogramRegistry,
+  gauges: GatewayGauges,
+): GatewayMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const requests = new Counter({
+    name: 'briarpin_requests_total',
+    help: 'Requests that have ended.',
+    labelNames: ['outcome', 'status'],
+    registers,
+  });
+  const events = new Counter({
+    name: 'briarpin_events_total',
+    help: 'Events of the log, those that were sampled out included.',
+    labelNames: ['event'],
+    registers,
+  });
+  addGauge('briarpin_open_requests', 'Requests that are open.', {
+    registers,
+    read: gauges.openRequests,
+  });
+  addGauge('briarpin_configuration_version', 'Version in force.', {
+    registers,
+    read: gauges.configurationVersion,
+  });
+  addGauge('briarpin_store_age_milliseconds', 'Age of what is in force.', {
+    registers,
+    read: gauges.storeAgeMilliseconds,
+  });
+  addGauge('briarpin_ready_endpoints', 'Endpoints that take work.', {
+    registers,
+    read: gauges.readyEndpoints,
+  });
+  addLatencies(histograms, registers);
+  return {
+    countRequest: (outcome, status) =>
+      requests.inc({outcome, status: String(status)}),
+    countEvent: event => events.inc({event}),
+    render: () => registry.metrics(),
+    contentType: registry.contentType,
+  };
+}
+
+function addGauge(
+  name: string,
+  help: string,
+  {registers, read}: {registers: Registry[]; read: () => number},
+): void {
+  const gauge: Gauge = new Gauge({
+    name,
+    help,
+    registers,
+    collect: () => gauge.set(read()),
+  });
+}
+
+function addLatencies(
+  histograms: HistogramRegistry,
+  registers: Registry[],
+): void {
+  const gauge: Gauge = new Gauge({
+    name: 'briarpin_latency_milliseconds',
+    help: 'Latencies by organisation and class since the start.',
+    labelNames: ['measure', 'organisation', 'class', 'quantile'],
+    registers,
+    collect: () => {
+      for (const summary of histograms.summarise()) {
+        const labels = {
+          measure: summary.measure,
+          organisation: summary.organisation,
+          class: summary.requestClass,
+        };
+        gauge.set({...labels, quantile: '0.5'}, summary.p50);
+        gauge.set({...labels, quantile: '0.95'}, summary.p95);
+        gauge.set({...labels, quantile: '0.99'}, summary.p99);
+        gauge.set({...labels, quantile: '1'}, summary.maximum);
+      }
+    },
+  });
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,6 +1,10 @@
 /**
  * What a process tells about itself: logs, histograms, failed tasks.
  */
+export * from './count_events/count_events.js';
 export * from './create_logger/create_logger.js';
+export * from './gateway_metrics/gateway_metrics.js';
 export * from './histogram_registry/histogram_registry.js';
+export * from './limit_events/limit_events.js';
+export * from './open_log_stream/open_log_stream.js';
 export * from './run_task/run_task.js';
