Tell starts at once, and let registrations wake nobody

Change: a stream that begins is told at once and reports are rarer; gateways are also learned from whom they are heard; reads of gateways gather for 8 s; polls follow from the bounds on configuration, revocation and draining.

--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -51,10 +51,10 @@
 export const HEARTBEATS_UNTIL_LAPSE = 2;
 
 /**
- * Time between two registrations of a process: several a time for which a
- * silent peer is still told news.
+ * Time between two registrations of a process. One is enough; the others make
+ * up for a store that has forgotten it.
  */
-export const REGISTRATION_INTERVAL_MILLISECONDS = 10_000;
+export const REGISTRATION_INTERVAL_MILLISECONDS = 30_000;
 
 /** Time for which late entries of an endpoint that is gone are told apart. */
 export const DEPARTED_ENTRY_MEMORY_MILLISECONDS = 120_000;
--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -28,11 +28,13 @@
 export const GATEWAYS_TOPIC = 'keyed.gateways';
 
 /**
- * How long the store holds a read of the configuration. Each answer confirms
- * that no key was revoked, so it is a fraction of the time for which keys may
- * be used without news.
+ * How long the store holds a read of the configuration, as a part of the time
+ * to put a change in force, and of the time to refuse a key. Each answer
+ * confirms that nothing has changed; a read that is lost is noticed and
+ * repeated within the rest.
  */
-const CONFIGURATION_POLL_MILLISECONDS = 1_300;
+const CONFIGURATION_POLL_SHARE = 0.6;
+const REVOCATION_POLL_SHARE = 0.4;
 
 /** How long the store holds a read of endpoints. */
 const ENDPOINTS_POLL_MILLISECONDS = 2_000;
@@ -40,17 +42,23 @@
 /** How long the store holds a read of gateways; nothing waits for them. */
 const GATEWAYS_POLL_MILLISECONDS = 15_000;
 
+/**
+ * Pause after records of gateways: every gateway writes one now and again, and
+ * those that are new make themselves heard.
+ */
+const GATEWAYS_GATHER_MILLISECONDS = 8_000;
+
 /**
  * Pause after records of endpoints, so that one read gathers several: a small
  * part of the notice with which endpoints leave.
  */
-const READER_GATHER_MILLISECONDS = 70;
+const READER_GATHER_MILLISECONDS = 90;
 
 /**
  * The same at a gateway that hears of endpoints that leave from those that
- * read: half of the time after which they may get no more work.
+ * read, as a part of the time after which they may get no more work.
  */
-const FOLLOWER_GATHER_MILLISECONDS = 1_250;
+const FOLLOWER_GATHER_SHARE = 0.5;
 
 /** What is known from the store. */
 export interface StoreKnowledge {
@@ -58,6 +66,16 @@
   hasEndpoints: boolean;
 }
 
+/** Bounds that the reads must meet, in milliseconds. */
+export interface StoreBounds {
+  /** From a change of the configuration to its being in force. */
+  readonly configurationMilliseconds: number;
+  /** From a key's revocation to its being refused. */
+  readonly revocationMilliseconds: number;
+  /** From the notice of an endpoint to its getting no more work. */
+  readonly drainMilliseconds: number;
+}
+
 /** What {@link followStore} needs. */
 export interface FollowStoreOptions {
   readonly store: KeyedTopicStore;
@@ -69,6 +87,7 @@
   /** Told of each answer about the configuration. */
   readonly guard: ContactGuard;
   readonly endpoints: EndpointRegistry;
+  readonly bounds: StoreBounds;
   /** True when this gateway tells the others of endpoints that leave. */
   readonly isReader: () => boolean;
   /** Told of each answer about the endpoints. */
@@ -150,11 +169,14 @@
 }
 
 function followConfiguration(options: FollowStoreOptions): TopicOptions {
-  const {guard} = options;
+  const {guard, bounds} = options;
   const take = (records: readonly KeyedRecord[]) =>
     records.forEach(record => applyConfiguration(record, options));
   return {
-    longPollMilliseconds: CONFIGURATION_POLL_MILLISECONDS,
+    longPollMilliseconds: Math.min(
+      bounds.configurationMilliseconds * CONFIGURATION_POLL_SHARE,
+      bounds.revocationMilliseconds * REVOCATION_POLL_SHARE,
+    ),
     gatherMilliseconds: () => 0,
     onSnapshot: take,
     onRecords: take,
@@ -198,7 +220,7 @@
     gatherMilliseconds: () =>
       options.isReader()
         ? READER_GATHER_MILLISECONDS
-        : FOLLOWER_GATHER_MILLISECONDS,
+        : options.bounds.drainMilliseconds * FOLLOWER_GATHER_SHARE,
     onSnapshot: records => {
       endpoints.noteContact();
       const entries = records.map(record => decode(record, options));
@@ -255,7 +277,7 @@
   };
   return {
     longPollMilliseconds: GATEWAYS_POLL_MILLISECONDS,
-    gatherMilliseconds: () => 0,
+    gatherMilliseconds: () => GATEWAYS_GATHER_MILLISECONDS,
     onSnapshot: records => {
       peers.clear();
       take(records);
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -153,11 +153,14 @@
     readyEndpoints: () => parts.endpoints.readyCount,
   });
   const {logger} = telemetry;
-  const parts = createParts(settings, telemetry, state, (entry, reason) => {
-    logger.info('endpoint_leaving', {endpoint: entry.id, reason});
-    parts.loads.forget(entry.id);
-    state.departures.add(entry);
-    runTask('evacuation', logger, () => evacuate(entry, gateway, mesh));
+  const parts = createParts(settings, telemetry, state, {
+    onLeaving: (entry, reason) => {
+      logger.info('endpoint_leaving', {endpoint: entry.id, reason});
+      parts.loads.forget(entry.id);
+      state.departures.add(entry);
+      runTask('evacuation', logger, () => evacuate(entry, gateway, mesh));
+    },
+    onWorkBegun: () => mesh.tell(),
   });
   const gateway = createGateway(settings, parts, state);
   const mesh = createMesh(settings, parts, gateway, state);
@@ -286,6 +289,7 @@
     known: state.known,
     guard: state.guard,
     endpoints,
+    bounds: settings.bounds,
     isReader: () => {
       const readers = mesh.findReaders(READER_AGE_MILLISECONDS);
       const {gateway: self} = mesh;
@@ -327,11 +331,17 @@
   await gateway.finish(grace - LEAVING_NOTICE_MILLISECONDS);
 }
 
+/** What the parts tell those that are built after them. */
+interface PartListeners {
+  readonly onLeaving: (entry: EndpointEntry, reason: LeavingReason) => void;
+  readonly onWorkBegun: () => void;
+}
+
 function createParts(
   settings: InstanceSettings,
   {logger, histograms, metrics}: Telemetry,
   state: {readonly isLeaving: boolean},
-  onLeaving: (entry: EndpointEntry, reason: LeavingReason) => void,
+  {onLeaving, onWorkBegun}: PartListeners,
 ): ForwardingParts {
   const clock = STEADY_CLOCK;
   const dialect = new RequestDialect();
@@ -365,6 +375,7 @@
     logger,
     histograms,
     metrics,
+    onWorkBegun,
     isLeaving: () => state.isLeaving,
   };
 }
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -38,6 +38,8 @@
   readonly logger: EventLogger;
   readonly histograms: HistogramRegistry;
   readonly metrics: Pick<GatewayMetrics, 'countRequest'>;
+  /** Told when work begins that other gateways should see when they place. */
+  readonly onWorkBegun: () => void;
   /** True once the gateway has been told to stop. */
   readonly isLeaving: () => boolean;
 }
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
@@ -57,8 +57,11 @@
 /** Shortest time between two regular reports. */
 const MINIMUM_INTERVAL_MILLISECONDS = 150;
 
-/** Time between two reports for each peer: 100 datagrams a second at most. */
-const INTERVAL_PER_PEER_MILLISECONDS = 10;
+/**
+ * Time between two regular reports for each peer; work that begins is told at
+ * once.
+ */
+const INTERVAL_PER_PEER_MILLISECONDS = 15;
 
 /** Entries of a report, so that it fits into one packet of an Ethernet. */
 const MAXIMUM_ENTRIES = 48;
@@ -73,13 +76,15 @@
   private readonly socket = dgram.createSocket('udp4');
   private readonly newest = new Map<string, ReceivedNews & NewsVersion>();
   private peers: readonly GatewayPeer[] = [];
+  /** Gateways that are heard and not among the peers yet. */
+  private readonly heard = new Map<string, GatewayPeer>();
   private sequence = 0;
 
   /**
    * @param options - Who tells what, and who listens
    */
   constructor(private readonly options: GatewayMeshOptions) {
-    this.socket.on('message', message => this.take(message));
+    this.socket.on('message', (message, sender) => this.take(message, sender));
     this.socket.on('error', error =>
       options.logger.warn('gateway_mesh_failed', {message: error.message}),
     );
@@ -105,6 +110,7 @@
   setPeers(peers: readonly GatewayPeer[]): void {
     const {gateway} = this.options;
     this.peers = peers.filter(peer => peer.gateway !== gateway);
+    this.peers.forEach(peer => this.heard.delete(peer.gateway));
   }
 
   /** Name of this gateway. */
@@ -142,7 +148,10 @@
     const silent = [...this.newest.values()]
       .filter(news => now - news.receivedAt > silenceMilliseconds)
       .map(news => news.gateway);
-    silent.forEach(gateway => this.newest.delete(gateway));
+    silent.forEach(gateway => {
+      this.newest.delete(gateway);
+      this.heard.delete(gateway);
+    });
     return silent;
   }
 
@@ -158,7 +167,7 @@
       leaving,
       endpointsAgeMilliseconds,
     }).finish();
-    for (const {host, port} of this.peers) {
+    for (const {host, port} of [...this.peers, ...this.heard.values()]) {
       this.socket.send(message, port, host);
     }
   }
@@ -180,7 +189,7 @@
     this.socket.close();
   }
 
-  private take(message: Buffer): void {
+  private take(message: Buffer, sender: dgram.RemoteInfo): void {
     let news: GatewayNews;
     try {
       news = GatewayNews.decode(message);
@@ -194,6 +203,10 @@
     if (before !== undefined && !isNewer(news, before)) {
       return;
     }
+    if (!this.peers.some(peer => peer.gateway === gateway)) {
+      const {address: host, port} = sender;
+      this.heard.set(gateway, {gateway, host, port});
+    }
     const received = {
       gateway,
       startedAt,
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -458,6 +458,7 @@
     if (holder !== undefined) {
       loads.add(holder.id, {tokens});
     }
+    parts.onWorkBegun();
     let isRead = false;
     const endReading = () => {
       if (!isRead) {
--- a/packages/stand_ins/src/machine/machine_scene.ts
+++ b/packages/stand_ins/src/machine/machine_scene.ts
@@ -271,6 +271,7 @@
     bounds: {
       stopGraceMilliseconds: 8_000,
       configurationMilliseconds: 2_500,
+      drainMilliseconds: 2_500,
       revocationMilliseconds: 5_000,
       failsClosed: true,
       retryRatio: 0.2,
