Add a randomized soak of the gateways on the users' machines

Real gateway processes, stand-ins of store and servers, faults from outside: signals (kill, terminate, pause, reload), a loopback proxy before the store (reset, silent, one way, delay), the store itself, servers that leave, refuse, reset, answer for another, keys taken away; faults come in series and overlap.

A run of 4 s with seed 1 is part of the tests.

--- a/packages/stand_ins/src/machine/forwarding.test.ts
+++ b/packages/stand_ins/src/machine/forwarding.test.ts
@@ -6,7 +6,8 @@
 import {afterEach, describe, it} from 'node:test';
 
 import type {ServerBehaviour} from './server_stand_in.js';
-import {MachineScene, DESK, type MachineSceneOptions} from './machine_scene.js';
+import {DESK} from './machine_configuration.js';
+import {MachineScene, type MachineSceneOptions} from './machine_scene.js';
 
 let scene: MachineScene;
 
--- a/packages/stand_ins/src/machine/machine_scene.ts
+++ b/packages/stand_ins/src/machine/machine_scene.ts
@@ -10,6 +10,7 @@
 } from '@briarpin/daemon/machine';
 import type {InstanceSettings} from '@briarpin/machines';
 
+import {createConfiguration, DESK, TEXT} from './machine_configuration.js';
 import {KeyedStoreStandIn} from './keyed_store_stand_in.js';
 import {ServerStandIn, type ServerStandInOptions} from './server_stand_in.js';
 
@@ -18,12 +19,6 @@
 
 const POLL_MILLISECONDS = 5;
 
-/** Service of plain servers in every scene. */
-export const DESK = 'desk';
-
-/** Service of model engines in every scene. */
-export const TEXT = 'text';
-
 /** An answer as a caller sees it. */
 export interface SeenAnswer {
   readonly status: number;
@@ -206,54 +201,6 @@
   }
 }
 
-function createConfiguration(version: number): object {
-  const route = (name: string, change: object) => ({
-    Name: name,
-    Hostname: 'shop.example',
-    PathPrefix: `/${name}/`,
-    Type: 'idempotent',
-    TimeoutMs: 3_000,
-    TargetLatencyMs: 200,
-    MaxAttempts: 2,
-    Service: DESK,
-    ...change,
-  });
-  const stream = {Type: 'stream', Service: TEXT, GapAimMs: 180};
-  return {
-    Version: version,
-    Routes: [
-      route('stock', {}),
-      route('open', {Public: true}),
-      route('hold', {Type: 'non_idempotent', MaxAttempts: 1}),
-      route('hold-anywhere', {Type: 'non_idempotent', MaxAttempts: 3}),
-      route('hasty', {TimeoutMs: 300, MaxAttempts: 1}),
-      route('text/long', {...stream, MaxAttempts: 1, TimeoutMs: 30_000}),
-      route('text/short', {...stream, Resumable: true}),
-    ],
-    Services: [
-      {Name: DESK, HealthPath: '/health'},
-      {
-        Name: TEXT,
-        HealthPath: '/health',
-        Engine: {
-          Slots: 8,
-          KvTokens: 30_000,
-          Moves: true,
-          Backups: true,
-          Stride: 1,
-        },
-      },
-    ],
-    Limits: {
-      MaxHeaderBytes: 16_384,
-      MaxBodyBytes: 65_536,
-      HeaderTimeoutMs: 3_000,
-      IdleTimeoutMs: 15_000,
-    },
-    Tenants: [{Name: 'quilters', ApiKeys: ['key-1']}],
-  };
-}
-
 function createSettings(
   store: InstanceSettings['store'],
   bounds: Partial<InstanceSettings['bounds']> = {},
--- a/packages/stand_ins/src/machine/server_stand_in.ts
+++ b/packages/stand_ins/src/machine/server_stand_in.ts
@@ -64,6 +64,8 @@
 /** A server in memory. */
 export class ServerStandIn {
   behaviour: ServerBehaviour = 'answers';
+  /** Counts its lives in the store, where a test makes several. */
+  lives = 0;
   /** Requests that it began to run. */
   readonly runs: RunRecord[] = [];
   /** Copies that other servers sent, events made by their handles. */
--- a/packages/stand_ins/src/machine/streams.test.ts
+++ b/packages/stand_ins/src/machine/streams.test.ts
@@ -4,7 +4,8 @@
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
 
-import {MachineScene, TEXT, type SeenAnswer} from './machine_scene.js';
+import {TEXT} from './machine_configuration.js';
+import {MachineScene, type SeenAnswer} from './machine_scene.js';
 
 const EVENTS = 60;
 
--- /dev/null
+++ b/packages/stand_ins/src/soak/soak.test.ts
@@ -0,0 +1,19 @@
+/**
+ * A short run of the soak, and the seeds that once failed.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {runSoak} from './run_soak.js';
+
+const SECONDS = 4;
+
+describe('the soak', () => {
+  for (const seed of [1]) {
+    it(`keeps every promise with seed ${seed}`, async () => {
+      const result = await runSoak({seed, seconds: SECONDS});
+      assert.deepEqual(result.breaches, []);
+      assert.ok(result.served > 0);
+    });
+  }
+});
--- /dev/null
+++ b/packages/stand_ins/src/soak/soak_checks.ts
@@ -0,0 +1,148 @@
+/**
+ * The promises, checked from what callers and servers have seen.
+ */
+import type {RunRecord} from '../machine/server_stand_in.js';
+
+/** What a caller asked for. */
+export type AskedKind = 'call' | 'idempotent' | 'stream';
+
+/** One request as its caller saw it. */
+export interface CallerRecord {
+  readonly requestId: string;
+  readonly path: string;
+  readonly kind: AskedKind;
+  readonly key: string;
+  /** Milliseconds of the soak's clock. */
+  readonly sentAt: number;
+  /** Absent when there was no answer. */
+  readonly status?: number;
+  readonly body: string;
+  readonly isComplete: boolean;
+}
+
+/** A run at a server. */
+export interface ServerRun {
+  readonly server: string;
+  readonly run: RunRecord;
+}
+
+/** When a key was taken away. */
+export interface Revocation {
+  readonly key: string;
+  readonly at: number;
+}
+
+/** Everything that was seen. */
+export interface SoakRecords {
+  readonly callers: readonly CallerRecord[];
+  readonly runs: readonly ServerRun[];
+  readonly revocations: readonly Revocation[];
+  /** Events of a whole stream. */
+  readonly events: number;
+  /** Time after which a revoked key must not be used. */
+  readonly revocationMilliseconds: number;
+}
+
+const NOT_RUN_STATUSES: readonly (number | undefined)[] = [408, 421, 429, 503];
+
+/**
+ * Checks every promise.
+ *
+ * @param records - What was seen
+ * @returns A line for each breach
+ */
+export function checkPromises(records: SoakRecords): string[] {
+  const runsById = new Map<string, ServerRun[]>();
+  for (const run of records.runs) {
+    const {requestId} = run.run;
+    runsById.set(requestId, [...(runsById.get(requestId) ?? []), run]);
+  }
+  return records.callers.flatMap(caller => {
+    const runs = runsById.get(caller.requestId) ?? [];
+    return [
+      ...checkRuns(caller, runs),
+      ...checkAnswer(caller, runs, records.events),
+      ...checkKey(caller, runs, records),
+    ].map(breach => `${caller.requestId} ${caller.path}: ${breach}`);
+  });
+}
+
+/** At most one run, and none of what was said not to have run. */
+function checkRuns(caller: CallerRecord, runs: readonly ServerRun[]): string[] {
+  if (caller.kind === 'idempotent') {
+    return [];
+  }
+  const begun = runs.filter(
+    ({run}) => run.headers['kv-from'] === undefined,
+  ).length;
+  const breaches = [];
+  if (begun > 1) {
+    breaches.push(`ran ${begun} times`);
+  }
+  if (NOT_RUN_STATUSES.includes(caller.status) && runs.length > 0) {
+    breaches.push(`answered ${caller.status} and ran`);
+  }
+  return breaches;
+}
+
+/** A whole answer of this request, or none that looks whole. */
+function checkAnswer(
+  caller: CallerRecord,
+  runs: readonly ServerRun[],
+  events: number,
+): string[] {
+  if (caller.status !== 200) {
+    return [];
+  }
+  if (caller.kind === 'stream') {
+    return checkStream(caller, events);
+  }
+  const expected = runs.map(({server, run}) => `${run.path} ran at ${server}`);
+  return caller.isComplete && !expected.includes(caller.body)
+    ? [`got the body ${JSON.stringify(caller.body)}`]
+    : [];
+}
+
+function checkStream(caller: CallerRecord, events: number): string[] {
+  const ids = [...caller.body.matchAll(/^id: (\d+)$/gm)].map(match =>
+    Number(match[1]),
+  );
+  const breaches = [];
+  if (ids.some((id, index) => id !== index + 1)) {
+    breaches.push(`got the events ${ids.join()}`);
+  }
+  if (caller.isComplete && ids.length !== events) {
+    breaches.push(`ended as complete after ${ids.length} events`);
+  }
+  if (caller.body !== '' && !caller.body.endsWith('\n\n')) {
+    breaches.push('got a part of an event');
+  }
+  return breaches;
+}
+
+/** No run without a key in force, and no key at a server. */
+function checkKey(
+  caller: CallerRecord,
+  runs: readonly ServerRun[],
+  {revocations, revocationMilliseconds}: SoakRecords,
+): string[] {
+  const breaches = [];
+  const revoked = revocations.find(({key}) => key === caller.key);
+  if (
+    runs.length > 0 &&
+    revoked !== undefined &&
+    caller.sentAt > revoked.at + revocationMilliseconds
+  ) {
+    const age = Math.round(caller.sentAt - revoked.at);
+    breaches.push(`ran with a key that was revoked ${age} ms before`);
+  }
+  for (const {run} of runs) {
+    if (run.headers.authorization !== undefined) {
+      breaches.push('a server was shown the key');
+    }
+    if (run.headers['x-briarpin-tenant'] !== 'quilters') {
+      breaches.push('a server was told another organisation');
+    }
+  }
+  return breaches;
+}
--- /dev/null
+++ b/packages/stand_ins/src/soak/soak_main.ts
@@ -0,0 +1,47 @@
+/**
+ * The command line of the soak.
+ */
+import {writeFileSync} from 'node:fs';
+import {parseArgs} from 'node:util';
+
+import {runSoak} from './run_soak.js';
+
+const USAGE = `Usage: npm run soak -- [--seed N] [--runs N] [--seconds N]
+
+  --seed N      first seed (1)
+  --runs N      runs, each with the next seed (5)
+  --seconds N   how long faults come in each run (8)
+
+A run that breaks a promise leaves its log in soak-SEED.log.
+`;
+
+const {values} = parseArgs({
+  options: {
+    seed: {type: 'string', default: '1'},
+    runs: {type: 'string', default: '5'},
+    seconds: {type: 'string', default: '8'},
+    help: {type: 'boolean'},
+  },
+});
+if (values.help) {
+  process.stdout.write(USAGE);
+} else {
+  await main();
+}
+
+async function main(): Promise<void> {
+  const first = Number(values.seed);
+  for (let seed = first; seed < first + Number(values.runs); seed += 1) {
+    const result = await runSoak({seed, seconds: Number(values.seconds)});
+    const {breaches, requests, served, faults} = result;
+    process.stdout.write(
+      `seed ${seed}: ${requests} requests, ${served} served, ` +
+        `${faults.length} faults, ${breaches.length} breaches\n`,
+    );
+    if (breaches.length > 0) {
+      process.exitCode = 1;
+      process.stdout.write(`${breaches.join('\n')}\n${faults.join(' ')}\n`);
+      writeFileSync(`soak-${seed}.log`, result.log);
+    }
+  }
+}
