--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -29,19 +29,9 @@
   RequestDialect,
   type InstanceSettings,
 } from '@briarpin/machines';
-import {
-  countEvents,
-  createGatewayMetrics,
-  createLogger,
-  DroppingStream,
-  HistogramRegistry,
-  limitEvents,
-  runTask,
-  type EventLogger,
-  type GatewayGauges,
-  type GatewayMetrics,
-} from '@briarpin/telemetry';
+import {runTask, type EventLogger} from '@briarpin/telemetry';
 
+import {createTelemetry, type Telemetry} from './create_telemetry.js';
 import {
   encodeGateway,
   followStore,
@@ -64,9 +54,6 @@
 /** Age of the configuration at which other gateways should be preferred. */
 const READY_AGE_SHARE = 0.6;
 
-/** Histograms kept for organisations and routes. */
-const HISTOGRAM_SERIES = 512;
-
 /** Time in which the platform takes a machine out that says it is not ready. */
 const LEAVING_NOTICE_MILLISECONDS = 3_000;
 
@@ -89,9 +76,6 @@
 const SAME_REGION_HOP_MILLISECONDS = 2;
 const OTHER_REGION_HOP_MILLISECONDS = 24;
 
-/** Lines of the log in a second from which requests are sampled. */
-const LOG_LINES_PER_SECOND = 200;
-
 /** A gateway that is running. */
 export interface RunningMachine {
   readonly logger: EventLogger;
@@ -197,35 +181,6 @@
   };
 }
 
-/** What a process tells about itself. */
-interface Telemetry {
-  readonly logger: EventLogger;
-  readonly histograms: HistogramRegistry;
-  readonly metrics: GatewayMetrics;
-}
-
-function createTelemetry(
-  settings: InstanceSettings,
-  stream: NodeJS.WritableStream,
-  gauges: GatewayGauges,
-): Telemetry {
-  const histograms = new HistogramRegistry(HISTOGRAM_SERIES);
-  const metrics = createGatewayMetrics(histograms, gauges);
-  const lines = createLogger({
-    level: 'info',
-    fields: {instance: settings.instance},
-    stream,
-  });
-  const limited = limitEvents(lines, {
-    linesPerSecond: LOG_LINES_PER_SECOND,
-    now: () => performance.now(),
-    takeDropped: () =>
-      stream instanceof DroppingStream ? stream.takeDropped() : 0,
-  });
-  const logger = countEvents(limited, event => metrics.countEvent(event));
-  return {logger, histograms, metrics};
-}
-
 async function startServers(
   settings: InstanceSettings,
   state: MachineState,
@@ -454,6 +409,6 @@
 ): Promise<void> {
   mesh.tell();
   const turn = new EvacuationTurn(entry.id, mesh, STEADY_CLOCK);
-  await gateway.evacuate(entry, turn, () => mesh.tell());
+  await gateway.evacuator.evacuate(entry, turn, () => mesh.tell());
   mesh.tell();
 }
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -95,7 +95,7 @@
  *
  * @returns How it ended
  */
-export function answerExchange(
+function answerExchange(
   exchange: Exchange,
   parts: ForwardingParts,
   answer: OwnAnswer,
@@ -119,6 +119,65 @@
   return organisation?.priority ?? route.priority;
 }
 
+/** An answer of an endpoint whose body has been read to its end. */
+export interface WholeAnswer {
+  readonly status: number;
+  /** Names and values by turns. */
+  readonly headers: string[];
+  readonly body: Buffer;
+}
+
+/**
+ * Passes a whole answer of an endpoint on.
+ *
+ * @returns How the exchange ended
+ */
+export function deliverAnswer(
+  {response, arrivedAt}: Exchange,
+  {dialect, clock, isLeaving}: ForwardingParts,
+  {status, headers: rawHeaders, body}: WholeAnswer,
+): ExchangeEnd {
+  const headers = dialect.writeAnswer(rawHeaders);
+  headers.push('Content-Length', String(body.length));
+  if (isLeaving()) {
+    headers.push('Connection', 'close');
+  }
+  response.writeHead(status, headers);
+  response.end(body);
+  const firstMilliseconds = clock.now() - arrivedAt;
+  return {outcome: 'done', status, firstMilliseconds};
+}
+
+/** Why no endpoint has answered an exchange. */
+export interface UnansweredExchange {
+  readonly reason: string;
+  /** False when the request has certainly not run. */
+  readonly mayHaveRun: boolean;
+  /** When the caller may come back if it has not run. */
+  readonly retryAfterMilliseconds: number;
+}
+
+/**
+ * Answers an exchange that no endpoint has answered.
+ *
+ * @returns How it ended
+ */
+export function answerUnanswered(
+  exchange: Exchange,
+  parts: ForwardingParts,
+  {reason, mayHaveRun, retryAfterMilliseconds}: UnansweredExchange,
+): ExchangeEnd {
+  if (!mayHaveRun) {
+    return answerExchange(exchange, parts, {
+      kind: 'not_run',
+      reason,
+      retryAfterMilliseconds,
+    });
+  }
+  const kind = exchange.signal.aborted ? 'timed_out' : 'unknown';
+  return answerExchange(exchange, parts, {kind, reason});
+}
+
 /** Logs an attempt that did not bring the answer. */
 export function logFailedAttempt(
   exchange: Exchange,
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -10,13 +10,15 @@
 } from '../endpoint_client/endpoint_client.js';
 import type {EndpointChoice} from '../endpoint_loads/endpoint_loads.js';
 import {
-  answerExchange,
+  answerUnanswered,
+  deliverAnswer,
   findUntried,
   logFailedAttempt,
   remainingMilliseconds,
   type Exchange,
   type ExchangeEnd,
   type ForwardingParts,
+  type WholeAnswer,
 } from '../exchange/exchange.js';
 
 /**
@@ -30,12 +32,7 @@
 
 /** What an attempt came to, its body included. */
 type CallResult =
-  | {
-      readonly kind: 'whole';
-      readonly status: number;
-      readonly headers: string[];
-      readonly body: Buffer;
-    }
+  | (WholeAnswer & {readonly kind: 'whole'})
   | {readonly kind: 'not_run'; readonly wasSent: boolean; reason: string}
   | {readonly kind: 'unknown'; readonly reason: string};
 
@@ -66,7 +63,7 @@
       return {outcome: 'left', status: 0};
     }
     if (isGood(result)) {
-      return deliver(exchange, parts, result);
+      return deliverAnswer(exchange, parts, result);
     }
     logFailedAttempt(exchange, parts, choice.id, describe(result));
     failure = result;
@@ -85,7 +82,14 @@
       break;
     }
   }
-  return conclude(exchange, parts, failure, mayHaveRun);
+  if (failure?.kind === 'whole') {
+    return deliverAnswer(exchange, parts, failure);
+  }
+  return answerUnanswered(exchange, parts, {
+    reason: failure?.reason ?? 'no endpoint takes work',
+    mayHaveRun,
+    retryAfterMilliseconds: CROWDED_RETRY_MILLISECONDS,
+  });
 }
 
 function choose(
@@ -175,49 +179,6 @@
   }
 }
 
-function deliver(
-  exchange: Exchange,
-  parts: ForwardingParts,
-  result: CallResult & {kind: 'whole'},
-): ExchangeEnd {
-  const {response} = exchange;
-  const headers = parts.dialect.writeAnswer(result.headers);
-  headers.push('Content-Length', String(result.body.length));
-  if (parts.isLeaving()) {
-    headers.push('Connection', 'close');
-  }
-  response.writeHead(result.status, headers);
-  response.end(result.body);
-  const firstMilliseconds = parts.clock.now() - exchange.arrivedAt;
-  return {outcome: 'done', status: result.status, firstMilliseconds};
-}
-
-/** Ends a call that no endpoint has answered well. */
-function conclude(
-  exchange: Exchange,
-  parts: ForwardingParts,
-  failure: CallResult | undefined,
-  mayHaveRun: boolean,
-): ExchangeEnd {
-  if (failure?.kind === 'whole') {
-    return deliver(exchange, parts, failure);
-  }
-  const reason =
-    failure === undefined ? 'no endpoint takes work' : describe(failure);
-  if (!mayHaveRun) {
-    return answerExchange(exchange, parts, {
-      kind: 'not_run',
-      reason,
-      retryAfterMilliseconds: CROWDED_RETRY_MILLISECONDS,
-    });
-  }
-  const isOver = exchange.signal.aborted;
-  return answerExchange(exchange, parts, {
-    kind: isOver ? 'timed_out' : 'unknown',
-    reason,
-  });
-}
-
 function describe(result: CallResult): string {
   return result.kind === 'whole'
     ? `the endpoint answered ${result.status}`
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -4,7 +4,7 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 
-import type {CallerLimits, EndpointEntry} from '@briarpin/coordination';
+import type {CallerLimits} from '@briarpin/coordination';
 import type {EndpointWork} from '@briarpin/messages';
 import {runTask} from '@briarpin/telemetry';
 
@@ -14,6 +14,7 @@
   type AdmissionBounds,
   type Knowledge,
 } from '../admit_request/admit_request.js';
+import {Evacuator} from '../evacuator/evacuator.js';
 import type {RequestFacts} from '../dialect/dialect.js';
 import type {
   Exchange,
@@ -27,7 +28,6 @@
   type OwnAnswer,
 } from '../own_answers/own_answers.js';
 import {readBody} from '../read_body/read_body.js';
-import type {EvacuationTurn} from '../evacuation_turn/evacuation_turn.js';
 import {StreamSession} from '../stream_session/stream_session.js';
 
 /** Largest head of a request; operators bound it further. */
@@ -42,12 +42,6 @@
 /** How often open requests are counted while the gateway stops. */
 const DRAIN_POLL_MILLISECONDS = 20;
 
-/** How often a gateway looks whether it may copy. */
-const TURN_POLL_MILLISECONDS = 8;
-
-/** Time after which a run that was not moved is left where it is. */
-const EVACUATION_MILLISECONDS = 6_000;
-
 /** When a caller may come back that meets a gateway that stops. */
 const LEAVING_RETRY_MILLISECONDS = 50;
 
@@ -62,6 +56,8 @@
 export class ForwardingGateway {
   private readonly server: http.Server;
   private readonly sessions = new Set<StreamSession>();
+  /** Moves streams off endpoints that leave. */
+  readonly evacuator: Evacuator;
   private open = 0;
   private maximumBodyBytes = DEFAULT_MAXIMUM_BODY_BYTES;
 
@@ -73,6 +69,7 @@
     private readonly parts: ForwardingParts,
     private readonly options: ForwardingGatewayOptions,
   ) {
+    this.evacuator = new Evacuator(this.sessions, parts);
     this.server = http.createServer(
       {
         maxHeaderSize: MAXIMUM_HEAD_BYTES,
@@ -112,7 +109,7 @@
 
   /** Work of this gateway by endpoint, for the other gateways. */
   readWork(): EndpointWork[] {
-    const movable = this.countMovableRuns();
+    const movable = this.evacuator.countMovableRuns();
     return [...this.parts.loads.ownWork].map(([endpoint, work]) => ({
       endpoint,
       requests: work.requests,
@@ -122,66 +119,6 @@
     }));
   }
 
-  /**
-   * Moves streams away from an endpoint that is leaving, one after another:
-   * the copies share its link. Those with the most left to produce go first;
-   * the others may end by themselves. Streams that were on their way when the
-   * notice came are waited for.
-   *
-   * @param entry - The endpoint
-   * @param turn - When this gateway may copy
-   * @param onMoved - Told after each run
-   */
-  async evacuate(
-    entry: EndpointEntry,
-    turn: Pick<EvacuationTurn, 'hasCome' | 'isAlone'>,
-    onMoved: () => void,
-  ): Promise<void> {
-    const {clock, logger} = this.parts;
-    const startedAt = clock.now();
-    let moved = 0;
-    while (clock.now() - startedAt < EVACUATION_MILLISECONDS) {
-      const runs = this.findRuns(entry.id);
-      if (runs.length === 0) {
-        break;
-      }
-      const next = runs.find(run => run.hasBegun && run.isMovable);
-      if (next === undefined || !turn.hasCome()) {
-        await clock.sleep(TURN_POLL_MILLISECONDS);
-        continue;
-      }
-      await next.moveAway(entry, runs.length === 1 && turn.isAlone());
-      moved += 1;
-      onMoved();
-    }
-    if (moved > 0) {
-      const milliseconds = Math.round(clock.now() - startedAt);
-      logger.info('evacuation', {endpoint: entry.id, moved, milliseconds});
-    }
-  }
-
-  /** Runs at an engine that should not end with it, largest rest first. */
-  private findRuns(endpointId: string): StreamSession[] {
-    return [...this.sessions]
-      .filter(
-        session => session.endpointId === endpointId && session.endsWithEngine,
-      )
-      .sort(
-        (left, right) =>
-          right.expectedRemainingTokens - left.expectedRemainingTokens,
-      );
-  }
-
-  private countMovableRuns(): ReadonlyMap<string, number> {
-    const counts = new Map<string, number>();
-    for (const {endpointId, isMovable, hasBegun} of this.sessions) {
-      if (isMovable && hasBegun && endpointId !== undefined) {
-        counts.set(endpointId, (counts.get(endpointId) ?? 0) + 1);
-      }
-    }
-    return counts;
-  }
-
   /** Takes no more connections; those that are idle end. */
   stopListening(): void {
     this.server.close();
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -6,6 +6,7 @@
 export * from './endpoint_client/endpoint_client.js';
 export * from './endpoint_loads/endpoint_loads.js';
 export * from './evacuation_turn/evacuation_turn.js';
+export * from './evacuator/evacuator.js';
 export * from './event_splitter/event_splitter.js';
 export * from './exchange/exchange.js';
 export * from './forwarding_gateway/forwarding_gateway.js';
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -11,18 +11,15 @@
   chooseCheckpointHolder,
   chooseCopyTarget,
   chooseEngine,
-  estimateMemoryTokens,
   estimateOutputTokens,
 } from '../choose_placement/choose_placement.js';
 import {computeCopyMilliseconds} from '../compute_copy_milliseconds/compute_copy_milliseconds.js';
 import type {MemorySource} from '../dialect/dialect.js';
-import {
-  gatherBody,
-  type AttemptResult,
-} from '../endpoint_client/endpoint_client.js';
+import {countEngineWork} from '../count_engine_work/count_engine_work.js';
 import type {WholeEvent} from '../event_splitter/event_splitter.js';
 import {
-  answerExchange,
+  answerUnanswered,
+  deliverAnswer,
   findUntried,
   logFailedAttempt,
   rankUrgency,
@@ -31,6 +28,12 @@
   type ExchangeEnd,
   type ForwardingParts,
 } from '../exchange/exchange.js';
+import {
+  isStream,
+  readFailure,
+  type OpenFailure,
+  type Unanswered,
+} from '../open_result/open_result.js';
 import {
   moveRun,
   type MoveResult,
@@ -50,10 +53,6 @@
 /** Pause before a run is moved again that found no room: room comes soon. */
 const KEPT_MILLISECONDS = 120;
 
-/** Statuses of an answer that holds a stream. */
-const FIRST_SUCCESS_STATUS = 200;
-const LAST_SUCCESS_STATUS = 299;
-
 /** A copy of the run's memory that the next endpoint goes on from. */
 interface Continuation {
   readonly endpoint: EndpointEntry;
@@ -61,20 +60,7 @@
 }
 
 /** What opening a leg came to. */
-type Opened =
-  | {readonly kind: 'leg'; readonly leg: StreamLeg}
-  | {
-      readonly kind: 'failed';
-      readonly reason: string;
-      readonly mayHaveRun: boolean;
-      readonly wasSent: boolean;
-    }
-  | {
-      readonly kind: 'failure_answer';
-      readonly status: number;
-      readonly headers: string[];
-      readonly body: Buffer;
-    };
+type Opened = {readonly kind: 'leg'; readonly leg: StreamLeg} | OpenFailure;
 
 /**
  * Serves a stream of events.
@@ -88,6 +74,8 @@
   private leg: StreamLeg | undefined;
   /** Endpoint that the request was sent to and that has not answered yet. */
   private opening: EndpointEntry | undefined;
+  /** The first answer that held a stream. */
+  private head: IncomingMessage | undefined;
   private lastEventId: string | undefined;
   private events = 0;
   private firstMilliseconds: number | undefined;
@@ -130,7 +118,7 @@
     let opened = await this.openFirst();
     for (;;) {
       if (opened.kind === 'failure_answer') {
-        return this.deliverFailure(opened);
+        return deliverAnswer(this.exchange, this.parts, opened);
       }
       if (opened.kind === 'failed') {
         return this.conclude(opened);
@@ -391,7 +379,11 @@
     const {endpoint} = continuation;
     const controller = new AbortController();
     const holder = chooseCheckpointHolder(exchange, parts, endpoint);
-    const counted = this.countWork(endpoint, holder, continuation);
+    const counted = countEngineWork(exchange, parts, {
+      endpoint,
+      checkpointHolder: holder,
+      hasMemory: continuation.memorySource !== undefined,
+    });
     this.opening = endpoint;
     const result = await parts.client.send({
       endpoint,
@@ -426,6 +418,7 @@
       logFailedAttempt(exchange, parts, endpoint.id, reason);
       return failure;
     }
+    this.head ??= result.response;
     const leg = new StreamLeg({
       endpoint,
       response: result.response,
@@ -434,65 +427,19 @@
       checkpointHolder: holder,
       release: counted.release,
       onEvent: event => {
-        counted.noteFirstEvent();
-        return this.forward(event, result.response);
+        counted.noteEvent();
+        return this.forward(event);
       },
     });
     return {kind: 'leg', leg};
   }
 
-  /** Counts the work at an engine until it is released. */
-  private countWork(
-    endpoint: EndpointEntry,
-    holder: EndpointEntry | undefined,
-    {memorySource}: Continuation,
-  ): {noteFirstEvent: () => void; release: () => void} {
-    const {exchange, parts} = this;
-    const {loads, clock} = parts;
-    const tokens = estimateMemoryTokens(exchange);
-    const promptTokens =
-      memorySource === undefined ? exchange.facts.promptTokens : 0;
-    const ahead = loads.promptTokensAt(endpoint.id);
-    const sentAt = clock.now();
-    loads.add(endpoint.id, {requests: 1, tokens, promptTokens});
-    if (holder !== undefined) {
-      loads.add(holder.id, {tokens});
-    }
-    parts.onWorkBegun();
-    let isRead = false;
-    const endReading = () => {
-      if (!isRead) {
-        isRead = true;
-        loads.remove(endpoint.id, {promptTokens});
-      }
-    };
-    return {
-      noteFirstEvent: () => {
-        if (!isRead && promptTokens > 0) {
-          const read = ahead + promptTokens;
-          loads.noteFirstEvent(endpoint.id, read, clock.now() - sentAt);
-        }
-        endReading();
-      },
-      release: () => {
-        endReading();
-        loads.remove(endpoint.id, {requests: 1, tokens});
-        if (holder !== undefined) {
-          loads.remove(holder.id, {tokens});
-        }
-      },
-    };
-  }
-
-  private forward(
-    event: WholeEvent,
-    from: IncomingMessage,
-  ): Promise<void> | undefined {
+  private forward(event: WholeEvent): Promise<void> | undefined {
     const {response} = this.exchange;
     if (response.destroyed) {
       return undefined;
     }
-    this.writeHead(from);
+    this.writeHead();
     this.events += 1;
     this.lastEventId = event.id ?? this.lastEventId;
     if (response.write(event.bytes)) {
@@ -505,21 +452,23 @@
   }
 
   /** The head of the first endpoint is the head of the answer. */
-  private writeHead(from: IncomingMessage): void {
+  private writeHead(): void {
     const {response, arrivedAt} = this.exchange;
-    if (response.headersSent) {
+    const {head} = this;
+    if (response.headersSent || head === undefined) {
       return;
     }
     this.firstMilliseconds = this.parts.clock.now() - arrivedAt;
-    const headers = this.parts.dialect.writeAnswer(from.rawHeaders);
+    const headers = this.parts.dialect.writeAnswer(head.rawHeaders);
     if (this.parts.isLeaving()) {
       headers.push('Connection', 'close');
     }
-    response.writeHead(from.statusCode ?? FIRST_SUCCESS_STATUS, headers);
+    response.writeHead(head.statusCode ?? 0, headers);
   }
 
   private complete(remainder: Buffer): ExchangeEnd {
     const {response} = this.exchange;
+    this.writeHead();
     response.end(remainder);
     return {
       outcome: 'done',
@@ -529,21 +478,9 @@
     };
   }
 
-  private deliverFailure(
-    failure: Opened & {kind: 'failure_answer'},
-  ): ExchangeEnd {
-    const {response} = this.exchange;
-    const headers = this.parts.dialect.writeAnswer(failure.headers);
-    headers.push('Content-Length', String(failure.body.length));
-    response.writeHead(failure.status, headers);
-    response.end(failure.body);
-    return {outcome: 'done', status: failure.status};
-  }
-
-  private conclude(failure: Opened & {kind: 'failed'}): ExchangeEnd {
+  private conclude({reason, mayHaveRun}: Unanswered): ExchangeEnd {
     const {exchange, parts} = this;
     const {response} = exchange;
-    const {reason} = failure;
     if (response.headersSent) {
       response.destroy();
       return {outcome: 'unknown', status: response.statusCode, reason};
@@ -551,54 +488,10 @@
     if (response.destroyed) {
       return {outcome: 'left', status: 0, reason};
     }
-    if (!failure.mayHaveRun) {
-      return answerExchange(exchange, parts, {
-        kind: 'not_run',
-        reason,
-        retryAfterMilliseconds: CROWDED_RETRY_MILLISECONDS,
-      });
-    }
-    const isOver = exchange.signal.aborted;
-    return answerExchange(exchange, parts, {
-      kind: isOver ? 'timed_out' : 'unknown',
+    return answerUnanswered(exchange, parts, {
       reason,
+      mayHaveRun,
+      retryAfterMilliseconds: CROWDED_RETRY_MILLISECONDS,
     });
   }
 }
-
-function isStream(
-  result: AttemptResult,
-): result is AttemptResult & {kind: 'answered'} {
-  if (result.kind !== 'answered' || !result.facts.isSigned) {
-    return false;
-  }
-  const status = result.response.statusCode ?? 0;
-  return status >= FIRST_SUCCESS_STATUS && status <= LAST_SUCCESS_STATUS;
-}
-
-async function readFailure(result: AttemptResult): Promise<Opened> {
-  switch (result.kind) {
-    case 'not_sent':
-    case 'unknown':
-    case 'refused': {
-      const mayHaveRun = result.kind === 'unknown';
-      const wasSent = result.kind !== 'not_sent';
-      const reason =
-        result.kind === 'refused'
-          ? `the engine refused it with ${result.status}`
-          : result.reason;
-      return {kind: 'failed', reason, mayHaveRun, wasSent};
-    }
-    case 'answered': {
-      const {response, facts} = result;
-      const status = response.statusCode ?? 0;
-      const gathered = await gatherBody(result);
-      if (gathered.kind === 'broken' || !facts.isSigned) {
-        const reason = `a broken answer with status ${status}`;
-        return {kind: 'failed', reason, mayHaveRun: true, wasSent: true};
-      }
-      const {rawHeaders: headers} = response;
-      return {kind: 'failure_answer', status, headers, body: gathered.body};
-    }
-  }
-}
