--- /dev/null
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.test.ts
@@ -0,0 +1,119 @@
+/**
+ * Tests of what a gateway knows of load and health.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import type {EndpointEntry, RoutedService} from '@briarpin/coordination';
+
+import {EndpointLoads} from './endpoint_loads.js';
+
+const SERVICE: RoutedService = {
+  name: 'text',
+  healthPath: '/',
+  maximumConnections: 10,
+  engine: {
+    slots: 8,
+    memoryTokens: 30_000,
+    bytesPerToken: 160_000,
+    copyLinkMegabitsPerSecond: 24_000,
+    supportsMoves: true,
+    supportsCheckpoints: true,
+    tokensPerEvent: 4,
+    copyLifetimeMilliseconds: 5_000,
+  },
+};
+
+function createEntry(id: string, availabilityZone = 'east-1'): EndpointEntry {
+  return {
+    id,
+    service: 'text',
+    host: '10.0.0.1',
+    port: 80,
+    availabilityZone,
+    state: 'ready',
+    slots: 8,
+    coldMilliseconds: 0,
+  };
+}
+
+function createLoads() {
+  const time = {now: 0};
+  const loads = new EndpointLoads({
+    now: () => time.now,
+    hopMilliseconds: () => 0,
+  });
+  const describeOne = (id: string, service: RoutedService | undefined) =>
+    loads.describe([createEntry(id)], service)[0];
+  return {loads, time, describeOne};
+}
+
+describe('EndpointLoads', () => {
+  it('adds the work of other gateways to its own', () => {
+    const {loads, describeOne} = createLoads();
+    loads.add('a', {requests: 1, tokens: 3_000, promptTokens: 3_000});
+    const other = {requests: 2, tokens: 5_000, promptTokens: 2_000};
+    loads.setOthersWork('front-2', new Map([['a', other]]));
+    assert.equal(describeOne('a', SERVICE)?.open, 3);
+    assert.equal(describeOne('a', SERVICE)?.usedTokens, 8_000);
+    assert.equal(loads.promptTokensAt('a'), 5_000);
+    loads.forgetGateway('front-2');
+    assert.equal(describeOne('a', SERVICE)?.open, 1);
+  });
+
+  it('forgets work that is released', () => {
+    const {loads} = createLoads();
+    loads.add('a', {requests: 1, tokens: 3_000});
+    loads.remove('a', {requests: 1, tokens: 3_000});
+    assert.equal(loads.ownWork.size, 0);
+  });
+
+  it('predicts a longer wait behind prompts that are not read', () => {
+    const {loads, describeOne} = createLoads();
+    const before = describeOne('a', SERVICE)?.waitMilliseconds ?? Number.NaN;
+    loads.add('a', {requests: 1, tokens: 6_000, promptTokens: 6_000});
+    const after = describeOne('a', SERVICE)?.waitMilliseconds ?? Number.NaN;
+    assert.equal(before, 0);
+    assert.ok(after > 300, `${after}`);
+  });
+
+  it('learns that an engine is slow, and forgives it with time', () => {
+    const {loads, time, describeOne} = createLoads();
+    const waitAt = (id: string) =>
+      describeOne(id, SERVICE)?.waitMilliseconds ?? Number.NaN;
+    for (const id of ['slow', 'fast']) {
+      loads.add(id, {requests: 1, promptTokens: 3_000});
+    }
+    for (let index = 0; index < 10; index += 1) {
+      loads.noteFirstEvent('slow', 3_000, 3_000);
+      loads.noteFirstEvent('fast', 3_000, 400);
+    }
+    const ratio = waitAt('slow') / waitAt('fast');
+    assert.ok(ratio > 1.5, `${ratio}`);
+    time.now = 30_000;
+    assert.ok(waitAt('slow') / waitAt('fast') < 1.1);
+  });
+
+  it('remembers failures for some seconds', () => {
+    const {loads, time, describeOne} = createLoads();
+    for (let index = 0; index < 10; index += 1) {
+      loads.note('a', true);
+    }
+    assert.ok((describeOne('a', undefined)?.failureShare ?? 0) > 0.5);
+    time.now = 15_000;
+    assert.ok((describeOne('a', undefined)?.failureShare ?? 1) < 0.05);
+  });
+
+  it('tells what the neighbours would have to take', () => {
+    const {loads} = createLoads();
+    loads.add('a', {requests: 3, tokens: 15_000});
+    const entries = [
+      createEntry('a'),
+      createEntry('b'),
+      createEntry('alone', 'west-1'),
+    ];
+    const [a, , alone] = loads.describe(entries, SERVICE);
+    assert.equal(a?.evacuationShare, 0.5);
+    assert.equal(alone?.evacuationShare, Number.POSITIVE_INFINITY);
+  });
+});
--- /dev/null
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.test.ts
@@ -0,0 +1,123 @@
+/**
+ * Tests of what gateways tell one another, over loopback.
+ */
+import assert from 'node:assert/strict';
+import dgram from 'node:dgram';
+import {afterEach, describe, it} from 'node:test';
+
+import {STEADY_CLOCK} from '@briarpin/coordination';
+import {GatewayNews} from '@briarpin/messages';
+
+import {GatewayMesh, type ReceivedNews} from './gateway_mesh.js';
+
+const ended: AbortController[] = [];
+const runs: Array<Promise<void>> = [];
+
+interface Heard {
+  readonly mesh: GatewayMesh;
+  readonly port: number;
+  /** Resolves with the next news. */
+  readonly next: () => Promise<ReceivedNews>;
+  readonly count: () => number;
+}
+
+async function startMesh(gateway: string, requests: number): Promise<Heard> {
+  const received: ReceivedNews[] = [];
+  let wake: ((news: ReceivedNews) => void) | undefined;
+  const silent = () => undefined;
+  const mesh = new GatewayMesh({
+    gateway,
+    host: '127.0.0.1',
+    port: 0,
+    clock: STEADY_CLOCK,
+    logger: {error: silent, warn: silent, info: silent, debug: silent},
+    startedAt: 7,
+    readNews: () => ({
+      work: [
+        {endpoint: 'e-1', requests, tokens: 9, movableRuns: 1, promptTokens: 4},
+      ],
+      leaving: [{endpoint: 'e-2', startedAt: 3}],
+      endpointsAgeMilliseconds: 12,
+    }),
+    onNews: news => {
+      received.push(news);
+      wake?.(news);
+    },
+  });
+  const port = await mesh.listen();
+  const end = new AbortController();
+  ended.push(end);
+  return {
+    mesh,
+    port,
+    next: () => new Promise(resolve => (wake = resolve)),
+    count: () => received.length,
+  };
+}
+
+function run(mesh: GatewayMesh): void {
+  const end = new AbortController();
+  ended.push(end);
+  runs.push(mesh.run(end.signal));
+}
+
+describe('GatewayMesh', () => {
+  afterEach(async () => {
+    ended.splice(0).forEach(end => end.abort());
+    await Promise.all(runs.splice(0));
+  });
+
+  it('tells peers what is open, what leaves and how old it is', async () => {
+    const first = await startMesh('first', 5);
+    const second = await startMesh('second', 6);
+    run(second.mesh);
+    first.mesh.setPeers([
+      {gateway: 'second', host: '127.0.0.1', port: second.port},
+    ]);
+    const heard = second.next();
+    run(first.mesh);
+    const news = await heard;
+    assert.equal(news.gateway, 'first');
+    assert.equal(news.work.get('e-1')?.requests, 5);
+    assert.equal(news.work.get('e-1')?.promptTokens, 4);
+    assert.deepEqual(news.leaving[0]?.endpoint, 'e-2');
+    assert.equal(second.mesh.findPeersWithRuns('e-1')[0]?.movableRuns, 1);
+    assert.deepEqual(second.mesh.findReaders(10_000), ['first']);
+    assert.deepEqual(second.mesh.findReaders(1), []);
+  });
+
+  it('answers a gateway that it has only heard', async () => {
+    const first = await startMesh('first', 5);
+    const second = await startMesh('second', 6);
+    first.mesh.setPeers([
+      {gateway: 'second', host: '127.0.0.1', port: second.port},
+    ]);
+    const heard = first.next();
+    run(first.mesh);
+    run(second.mesh);
+    assert.equal((await heard).gateway, 'second');
+  });
+
+  it('takes no older news, and none that are broken', async () => {
+    const mesh = await startMesh('first', 5);
+    run(mesh.mesh);
+    const sender = dgram.createSocket('udp4');
+    const send = (message: Uint8Array) =>
+      sender.send(message, mesh.port, '127.0.0.1');
+    const encode = (startedAt: number, sequence: number) =>
+      GatewayNews.encode(
+        GatewayNews.fromPartial({gateway: 'other', startedAt, sequence}),
+      ).finish();
+    const newest = mesh.next();
+    send(encode(5, 2));
+    await newest;
+    send(encode(5, 1));
+    send(encode(4, 9));
+    send(Buffer.from([0xff, 0xff, 0xff]));
+    const restarted = mesh.next();
+    send(encode(6, 1));
+    await restarted;
+    assert.equal(mesh.count(), 2);
+    sender.close();
+  });
+});
