Keep the stand-ins of the users' wire inside platform/

Cause: stand-ins, tests and soak under packages/stand_ins named the wire's headers, fields and calls, which only platform/ may know.

Change: they move unchanged to platform/stand_ins, a package of its own, since the daemon needs platform/ and they need the daemon. No wire name is left under packages/.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -20,7 +20,11 @@
     files: ['**/*.ts'],
     languageOptions: {
       parserOptions: {
-        project: ['./packages/*/tsconfig.json', './platform/tsconfig.json'],
+        project: [
+          './packages/*/tsconfig.json',
+          './platform/tsconfig.json',
+          './platform/stand_ins/tsconfig.json',
+        ],
       },
     },
     rules: {
--- a/tools/run_tests.js
+++ b/tools/run_tests.js
@@ -11,7 +11,7 @@
 
 const words = process.argv.slice(2);
 const folders = readdirSync('packages').map(name => join('packages', name));
-const files = [...folders, 'platform']
+const files = [...folders, 'platform', 'platform/stand_ins']
   .flatMap(folder => listTests(join(folder, 'dist')))
   .filter(file => words.length === 0 || words.some(word => file.includes(word)))
   .sort();
