Take a missing load report for silence, not for the engine's death

Cause: when a stream breaks, the sidecar reads the engine's load to learn whether it still runs. One read that got no answer within 2 s counted as a death, and a death ends every broken stream of that life.

--- a/packages/daemon/src/engine/engine_client.ts
+++ b/packages/daemon/src/engine/engine_client.ts
@@ -104,11 +104,23 @@
     await this.send('DELETE', `/v1/generations/${id}`);
   }
 
-  /** Reads the load report; undefined when the engine does not answer. */
-  async readLoad(): Promise<EngineLoad | undefined> {
+  /**
+   * Reads the load report.
+   *
+   * @returns The report; else whether the engine refused the connection
+   *     (`not_sent`) or only failed to answer (`unknown`)
+   */
+  async readLoad(): Promise<Result<EngineLoad, HttpFailure>> {
     const answer = await this.send('GET', '/load');
-    const body = answer.isOk ? parseJson(answer.value.body) : undefined;
-    return validateEngineLoad(body) ? body : undefined;
+    return answer.andThen(({body, status}) => {
+      const load = parseJson(body);
+      return validateEngineLoad(load)
+        ? Result.ok(load)
+        : Result.err<EngineLoad, HttpFailure>({
+            kind: 'unknown',
+            message: `a broken load report with status ${status}`,
+          });
+    });
   }
 
   /** Sends an order. */
--- a/packages/stand_ins/src/engine/engine_stand_in.ts
+++ b/packages/stand_ins/src/engine/engine_stand_in.ts
@@ -38,7 +38,9 @@
   /** Breaks the connections of streams; generations go on. */
   | {readonly kind: 'cut_streams'}
   /** Stops or continues writing tokens. */
-  | {readonly kind: 'stall'; readonly on: boolean};
+  | {readonly kind: 'stall'; readonly on: boolean}
+  /** Leaves reads of the load unanswered for a time. */
+  | {readonly kind: 'silence_load'; readonly milliseconds: number};
 
 /** One line of the ledger: what really ran. */
 export interface LedgerEntry {
@@ -77,6 +79,7 @@
   private epoch: string = randomUUID();
   private models: Set<string>;
   private fencingNumber = 0;
+  private loadSilentUntil = 0;
   private downUntil = 0;
   private stalled = false;
   private arrivals = 0;
@@ -119,6 +122,9 @@
       case 'stall':
         this.stalled = fault.on;
         break;
+      case 'silence_load':
+        this.loadSilentUntil = Date.now() + fault.milliseconds;
+        break;
     }
   }
 
@@ -169,7 +175,9 @@
     if (url.pathname === '/v1/completions') {
       this.startGeneration((await readJson(request)) as StartBody, response);
     } else if (url.pathname === '/load') {
-      sendJson(response, 200, this.load());
+      if (Date.now() >= this.loadSilentUntil) {
+        sendJson(response, 200, this.load());
+      }
     } else if (url.pathname === '/orders') {
       this.takeOrder((await readJson(request)) as EngineOrder, response);
     } else if (id !== '' && request.method === 'DELETE') {
