Open connections ahead of the calls that move a run

Cause: engines answer each move call with 'Connection: close' (89 of 89 looked at), so every call from another region cost a second round trip of 24 ms. The last copy therefore reached the engine 36 ms after it was asked for, later than the 25 ms after which the link is handed over, and queued behind the next gateway's long copy.

Ruled out: a client that does not keep connections (5 calls in a row use one).

Change: PreparingAgent opens a connection before it is needed: to the source while a gateway waits for its turn and while a copy runs, to the target while the last copy runs. Each placing is logged with the inputs that decided it, and each request with the time to its first event.

--- a/packages/forwarding/src/choose_placement/choose_placement.ts
+++ b/packages/forwarding/src/choose_placement/choose_placement.ts
@@ -46,6 +46,15 @@
   );
 }
 
+/** Part of an engine's memory that would be taken with a generation more. */
+export function computeMemoryShare(
+  exchange: Exchange,
+  engine: EndpointState,
+): number {
+  const tokens = engine.usedTokens + estimateMemoryTokens(exchange);
+  return tokens / engine.memoryTokens;
+}
+
 /**
  * Chooses an engine for a generation.
  *
--- a/packages/forwarding/src/dialect/dialect.ts
+++ b/packages/forwarding/src/dialect/dialect.ts
@@ -130,6 +130,9 @@
   /** Headers of a refusal: when the caller may come back. */
   writeRetryAfter(milliseconds: number): string[];
 
+  /** Opens a connection to an engine whose runs will be moved. */
+  prepareMove(source: EndpointAddress): void;
+
   /** Copies a run's memory; stops the run first when `stop` is set. */
   moveRun(call: MoveCall): Promise<MoveOutcome>;
 
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -7,6 +7,10 @@
 import type {EndpointEntry} from '@briarpin/coordination';
 
 import type {AnswerFacts, Dialect} from '../dialect/dialect.js';
+import {
+  PreparingAgent,
+  type ConnectionTarget,
+} from '../preparing_agent/preparing_agent.js';
 
 /**
  * Time to establish a connection: many times the round trip between two
@@ -98,7 +102,7 @@
     timeout: IDLE_TIMEOUT_MILLISECONDS,
   });
   /** A connection for each request. */
-  private readonly single = new http.Agent({keepAlive: false});
+  private readonly single = new PreparingAgent();
 
   /**
    * @param dialect - Reads what endpoints say
@@ -135,6 +139,11 @@
     });
   }
 
+  /** Opens a connection for a request that will need one of its own. */
+  prepare(target: ConnectionTarget): void {
+    this.single.prepare(target);
+  }
+
   /** Closes idle connections. */
   close(): void {
     this.pooled.destroy();
--- a/packages/forwarding/src/evacuator/evacuator.ts
+++ b/packages/forwarding/src/evacuator/evacuator.ts
@@ -21,7 +21,10 @@
    */
   constructor(
     private readonly sessions: ReadonlySet<StreamSession>,
-    private readonly parts: Pick<ForwardingParts, 'clock' | 'logger'>,
+    private readonly parts: Pick<
+      ForwardingParts,
+      'clock' | 'dialect' | 'logger'
+    >,
   ) {}
 
   /**
@@ -39,7 +42,7 @@
     turn: Pick<EvacuationTurn, 'hasCome' | 'isAlone'>,
     onMoved: () => void,
   ): Promise<void> {
-    const {clock, logger} = this.parts;
+    const {clock, dialect, logger} = this.parts;
     const startedAt = clock.now();
     let moved = 0;
     while (clock.now() - startedAt < EVACUATION_MILLISECONDS) {
@@ -49,6 +52,7 @@
       }
       const next = runs.find(run => run.hasBegun && run.isMovable);
       if (next === undefined || !turn.hasCome()) {
+        dialect.prepareMove(entry);
         await clock.sleep(TURN_POLL_MILLISECONDS);
         continue;
       }
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -286,6 +286,7 @@
     const {logger, histograms, clock} = this.parts;
     const {facts, route, organisation, tried} = exchange;
     const milliseconds = Math.round(clock.now() - exchange.arrivedAt);
+    const {firstMilliseconds} = end;
     this.parts.metrics.countRequest(end.outcome, end.status);
     const {configuration, ageMilliseconds} = this.options.knowledge();
     // A request that did not end well is kept whatever the log's budget.
@@ -300,10 +301,13 @@
       status: end.status,
       reason: end.reason,
       endpoints: tried.join(','),
+      first:
+        firstMilliseconds === undefined
+          ? undefined
+          : Math.round(firstMilliseconds),
       milliseconds,
     });
     const name = organisation?.name ?? 'public';
-    const {firstMilliseconds} = end;
     if (firstMilliseconds !== undefined) {
       histograms.record(
         'first_token_milliseconds',
--- a/packages/forwarding/src/run_evacuation/run_evacuation.test.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.test.ts
@@ -31,8 +31,10 @@
 ) {
   const clock = new VirtualClock();
   const calls: string[] = [];
+  const prepared: string[] = [];
   const answers = [...script];
-  const dialect: Pick<Dialect, 'moveRun'> = {
+  const dialect: Pick<Dialect, 'moveRun' | 'prepareMove'> = {
+    prepareMove: source => prepared.push(source.host),
     moveRun: async (call: MoveCall) => {
       calls.push(`${call.target.host}${call.stop ? ' stop' : ''}`);
       const [outcome, milliseconds] = answers.shift() ?? [COPIED, 1];
@@ -48,6 +50,7 @@
       source: createEntry('source'),
       targetGapMilliseconds: 180,
       idleLinkMilliseconds: 200,
+      prepareTarget: target => prepared.push(target.host),
       isThere: () => true,
       chooseTarget: excluded => {
         const id = targets.find(name => !excluded.includes(name));
@@ -63,10 +66,18 @@
     () => calls.push('stopping'),
   );
   await clock.advance(60_000);
-  return {result: await moved, calls};
+  return {result: await moved, calls, prepared};
 }
 
 describe('moveRun', () => {
+  it('opens connections for the next call while a copy runs', async () => {
+    const {prepared} = await play([
+      [COPIED, 200],
+      [COPIED, 20],
+    ]);
+    assert.deepEqual(prepared, ['source', 'near']);
+  });
+
   it('copies, then stops the run for the last copy', async () => {
     const {result, calls} = await play([
       [COPIED, 210],
--- a/packages/forwarding/src/run_evacuation/run_evacuation.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.ts
@@ -27,6 +27,8 @@
   readonly targetGapMilliseconds: number;
   /** How long a first copy takes on an idle link, in milliseconds. */
   readonly idleLinkMilliseconds: number;
+  /** Opens a connection to the engine where the run will go on. */
+  readonly prepareTarget: (target: EndpointEntry) => void;
   /** False once the run has ended or is on another engine. */
   readonly isThere: () => boolean;
   /** Chooses where it goes; undefined when there is no room anywhere. */
@@ -81,13 +83,19 @@
       onStopping();
     }
     const startedAt = clock.now();
-    const outcome: MoveOutcome = await dialect.moveRun({
+    const copying: Promise<MoveOutcome> = dialect.moveRun({
       source: run.source,
       target,
       requestId: run.requestId,
       stop,
       timeoutMilliseconds: COPY_TIMEOUT_MILLISECONDS,
     });
+    if (stop) {
+      run.prepareTarget(target);
+    } else {
+      dialect.prepareMove(run.source);
+    }
+    const outcome = await copying;
     const durationMilliseconds = clock.now() - startedAt;
     logger.info('run_copied', {
       request: run.requestId,
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -11,10 +11,12 @@
   chooseCheckpointHolder,
   chooseCopyTarget,
   chooseEngine,
+  computeMemoryShare,
   estimateOutputTokens,
 } from '../choose_placement/choose_placement.js';
 import {computeCopyMilliseconds} from '../compute_copy_milliseconds/compute_copy_milliseconds.js';
 import type {MemorySource} from '../dialect/dialect.js';
+import type {EndpointChoice} from '../endpoint_loads/endpoint_loads.js';
 import {countEngineWork} from '../count_engine_work/count_engine_work.js';
 import type {WholeEvent} from '../event_splitter/event_splitter.js';
 import {
@@ -192,6 +194,7 @@
           source,
           targetGapMilliseconds: exchange.route.targetGapMilliseconds,
           idleLinkMilliseconds: this.estimateCopyMilliseconds(),
+          prepareTarget: target => parts.client.prepare(target),
           isThere,
           chooseTarget: excluded =>
             this.chooseMoveTarget(source, excluded, isAlone),
@@ -269,6 +272,7 @@
         return failure;
       }
       exchange.tried.push(engine.id);
+      this.logPlaced(engine);
       const opened = await this.open({endpoint: engine.entry});
       if (opened.kind === 'leg' || exchange.signal.aborted) {
         return opened;
@@ -280,6 +284,18 @@
     }
   }
 
+  private logPlaced(engine: EndpointChoice): void {
+    const {exchange, parts} = this;
+    parts.logger.info('placed', {
+      request: exchange.facts.requestId,
+      endpoint: engine.id,
+      open: engine.open,
+      memory: computeMemoryShare(exchange, engine).toFixed(2),
+      wait: Math.round(engine.waitMilliseconds),
+      failures: engine.failureShare.toFixed(2),
+    });
+  }
+
   private mayRetry(opened: Opened): boolean {
     const {exchange, parts} = this;
     const wasSent = opened.kind !== 'failed' || opened.wasSent;
