Let a run be moved more than once, and go on from its copy

Copies that were given up took memory and a slot for 5 s and more.

Ruled out: waiting for other gateways (the link of one engine was idle for its last 650 ms while such a run waited).

Change: the mark names the leg that was handed over. A run whose engine ends during a copy goes on from the copy it has; the engine's two connections end together, so the run does not work on. A copy that is not used is freed at its target.

--- a/packages/forwarding/src/dialect/dialect.ts
+++ b/packages/forwarding/src/dialect/dialect.ts
@@ -161,6 +161,7 @@
 
 /** A copy to be freed. */
 export interface DropCopyCall {
-  readonly source: EndpointAddress;
+  /** Engine that the memory was copied to. */
+  readonly holder: EndpointAddress;
   readonly handle: string;
 }
--- a/packages/forwarding/src/run_evacuation/run_evacuation.test.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.test.ts
@@ -33,7 +33,11 @@
   const calls: string[] = [];
   const prepared: string[] = [];
   const answers = [...script];
-  const dialect: Pick<Dialect, 'moveRun' | 'prepareMove'> = {
+  const dropped: string[] = [];
+  const dialect: Pick<Dialect, 'moveRun' | 'prepareMove' | 'dropCopy'> = {
+    dropCopy: async ({holder, handle}) => {
+      dropped.push(`${handle} at ${holder.host}`);
+    },
     prepareMove: source => prepared.push(source.host),
     moveRun: async (call: MoveCall) => {
       calls.push(`${call.target.host}${call.stop ? ' stop' : ''}`);
@@ -66,7 +70,7 @@
     () => calls.push('stopping'),
   );
   await clock.advance(60_000);
-  return {result: await moved, calls, prepared};
+  return {result: await moved, calls, prepared, dropped};
 }
 
 describe('moveRun', () => {
@@ -142,6 +146,36 @@
     assert.deepEqual(calls, ['near']);
   });
 
+  it('goes on from the copy when the source has ended before the last one', async () => {
+    const lost: MoveOutcome = {kind: 'unknown', message: 'socket hang up'};
+    const {result, dropped} = await play([
+      [COPIED, 700],
+      [lost, 300],
+    ]);
+    assert.equal(result.kind, 'source_lost');
+    assert.equal(result.kind === 'source_lost' && result.target.id, 'near');
+    assert.deepEqual(dropped, []);
+  });
+
+  it('frees the copy of a run that has ended meanwhile', async () => {
+    const isThere = [true, false];
+    const {dropped} = await play([[COPIED, 210]], {
+      isThere: () => isThere.shift() ?? false,
+    });
+    assert.deepEqual(dropped, ['h-1 at near']);
+  });
+
+  it('frees the copy at a target that has no room for the rest', async () => {
+    const {result, dropped} = await play([
+      [COPIED, 700],
+      [{kind: 'no_room'}, 5],
+      [COPIED, 210],
+      [COPIED, 5],
+    ]);
+    assert.equal(result.kind === 'stopped' && result.target.id, 'next');
+    assert.deepEqual(dropped, ['h-1 at near']);
+  });
+
   it('ends with the run', async () => {
     const {result, calls} = await play([], {isThere: () => false});
     assert.equal(result.kind, 'kept');
--- a/packages/forwarding/src/run_evacuation/run_evacuation.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.ts
@@ -3,6 +3,7 @@
  */
 import type {EndpointEntry} from '@briarpin/coordination';
 import {decideLastCopy} from '@briarpin/scheduling';
+import {runTask} from '@briarpin/telemetry';
 
 import type {Dialect, MemorySource, MoveOutcome} from '../dialect/dialect.js';
 import type {ForwardingParts} from '../exchange/exchange.js';
@@ -37,7 +38,7 @@
   ) => EndpointEntry | undefined;
 }
 
-/** A run that was stopped and has to go on. */
+/** A run that has ended at its source and has to go on elsewhere. */
 export type StoppedRun =
   /** The run has stopped; it goes on at the target. */
   | {
@@ -45,6 +46,15 @@
       readonly target: EndpointEntry;
       readonly memorySource: MemorySource;
     }
+  /**
+   * The source has ended before the last copy; the target has all but the
+   * newest tokens.
+   */
+  | {
+      readonly kind: 'source_lost';
+      readonly target: EndpointEntry;
+      readonly memorySource: MemorySource;
+    }
   /** The run has stopped, and only its source has the memory. */
   | {
       readonly kind: 'stopped_at_source';
@@ -57,6 +67,16 @@
   /** The run was not stopped. */
   | {readonly kind: 'kept'; readonly reason: string};
 
+/** A complete copy of a run's memory up to some of its events. */
+interface RunCopy {
+  readonly target: EndpointEntry;
+  readonly handle: string;
+}
+
+type MoveParts = Pick<ForwardingParts, 'clock' | 'logger'> & {
+  readonly dialect: Dialect;
+};
+
 /**
  * Copies a run's memory while it runs, then stops it for the last copy.
  *
@@ -67,12 +87,13 @@
  */
 export async function moveRun(
   run: MovableRun,
-  parts: Pick<ForwardingParts, 'clock' | 'logger'> & {dialect: Dialect},
+  parts: MoveParts,
   onStopping: () => void,
 ): Promise<MoveResult> {
-  const {clock, dialect, logger} = parts;
+  const {clock} = parts;
   const excluded: string[] = [];
   let target = run.chooseTarget(excluded);
+  let copy: RunCopy | undefined;
   let rounds = 0;
   let stop = false;
   for (let calls = 0; calls < MAXIMUM_CALLS && run.isThere(); calls += 1) {
@@ -83,36 +104,16 @@
       onStopping();
     }
     const startedAt = clock.now();
-    const copying: Promise<MoveOutcome> = dialect.moveRun({
-      source: run.source,
-      target,
-      requestId: run.requestId,
-      stop,
-      timeoutMilliseconds: COPY_TIMEOUT_MILLISECONDS,
-    });
-    if (stop) {
-      run.prepareTarget(target);
-    } else {
-      dialect.prepareMove(run.source);
-    }
-    const outcome = await copying;
+    const outcome = await copyOnce(run, parts, {target, stop});
     const durationMilliseconds = clock.now() - startedAt;
-    logger.info('run_copied', {
-      request: run.requestId,
-      source: run.source.id,
-      target: target.id,
-      same_zone: target.availabilityZone === run.source.availabilityZone,
-      stop,
-      outcome: outcome.kind,
-      milliseconds: Math.round(durationMilliseconds),
-    });
     switch (outcome.kind) {
       case 'copied': {
         const {handle} = outcome;
-        const {host, port} = run.source;
         if (stop) {
-          return {kind: 'stopped', target, memorySource: {host, port, handle}};
+          const memorySource = locate(run, handle);
+          return {kind: 'stopped', target, memorySource};
         }
+        copy = {target, handle};
         rounds += 1;
         stop = decideLastCopy({
           rounds,
@@ -124,10 +125,11 @@
       }
       case 'no_room': {
         if (stop && outcome.handle !== undefined) {
-          const {host, port} = run.source;
-          const memorySource = {host, port, handle: outcome.handle};
+          const memorySource = locate(run, outcome.handle);
           return {kind: 'stopped_at_source', memorySource};
         }
+        dropCopy(copy, parts);
+        copy = undefined;
         excluded.push(target.id);
         target = run.chooseTarget(excluded);
         stop = false;
@@ -138,9 +140,63 @@
       case 'in_progress':
         await clock.sleep(NOT_READY_PAUSE_MILLISECONDS);
         break;
-      case 'unknown':
-        return {kind: 'kept', reason: outcome.message};
+      case 'unknown': {
+        if (copy === undefined) {
+          return {kind: 'kept', reason: outcome.message};
+        }
+        const memorySource = locate(run, copy.handle);
+        return {kind: 'source_lost', target: copy.target, memorySource};
+      }
     }
   }
+  dropCopy(copy, parts);
   return {kind: 'kept', reason: 'the run has ended'};
 }
+
+/** Asks for one copy and opens the connection that comes after it. */
+async function copyOnce(
+  run: MovableRun,
+  {clock, dialect, logger}: MoveParts,
+  {target, stop}: {target: EndpointEntry; stop: boolean},
+): Promise<MoveOutcome> {
+  const {source, requestId} = run;
+  const startedAt = clock.now();
+  const copying = dialect.moveRun({
+    source,
+    target,
+    requestId,
+    stop,
+    timeoutMilliseconds: COPY_TIMEOUT_MILLISECONDS,
+  });
+  if (stop) {
+    run.prepareTarget(target);
+  } else {
+    dialect.prepareMove(source);
+  }
+  const outcome = await copying;
+  logger.info('run_copied', {
+    request: requestId,
+    source: source.id,
+    target: target.id,
+    same_zone: target.availabilityZone === source.availabilityZone,
+    stop,
+    outcome: outcome.kind,
+    milliseconds: Math.round(clock.now() - startedAt),
+  });
+  return outcome;
+}
+
+/** Names a copy by the address of the engine that made it. */
+function locate({source}: MovableRun, handle: string): MemorySource {
+  return {host: source.host, port: source.port, handle};
+}
+
+/** Frees the memory and the slot that a copy takes at its target. */
+function dropCopy(copy: RunCopy | undefined, {dialect, logger}: MoveParts) {
+  if (copy !== undefined) {
+    const {target, handle} = copy;
+    runTask('drop_copy', logger, () =>
+      dialect.dropCopy({holder: target, handle}),
+    );
+  }
+}
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -85,9 +85,9 @@
   private moves = 0;
   /** When a run that found no room is tried again, by the clock. */
   private keptUntil = Number.NEGATIVE_INFINITY;
-  /** True while the last copy runs and another run may use the link. */
-  private isHandedOver = false;
-  /** The move that has stopped the run, or is about to. */
+  /** The leg whose last copy runs, so that another run may use the link. */
+  private handedOver: StreamLeg | undefined;
+  /** The move of the run that is going on, or that has stopped it. */
   private move: Promise<MoveResult> | undefined;
 
   /**
@@ -129,14 +129,14 @@
       this.leg = leg;
       const end = await leg.run();
       this.leg = undefined;
+      if (end.kind === 'complete') {
+        return this.complete(end.remainder);
+      }
       const moved = await this.takeMove();
       if (moved !== undefined) {
         opened = await this.openMoved(leg, moved);
         continue;
       }
-      if (end.kind === 'complete') {
-        return this.complete(end.remainder);
-      }
       if (this.exchange.signal.aborted) {
         const reason = 'the caller left or the time is over';
         return this.conclude({
@@ -160,7 +160,7 @@
   get isMovable(): boolean {
     return (
       this.endsWithEngine &&
-      !this.isHandedOver &&
+      this.handedOver !== this.leg &&
       this.parts.clock.now() >= this.keptUntil
     );
   }
@@ -201,22 +201,25 @@
         },
         parts,
         () => {
-          this.move = moved;
           runTask('handover', parts.logger, async () => {
             await parts.clock.sleep(HANDOVER_MILLISECONDS);
+            this.handedOver = leg;
             resolve();
           });
         },
       );
+      this.move = moved;
       runTask('move', parts.logger, async () => {
         const result = await moved;
-        if (result.kind === 'kept' && isThere()) {
+        if (result.kind !== 'kept') {
+          this.handedOver = leg;
+        } else if (isThere()) {
+          this.move = undefined;
           this.keep(source, result.reason);
         }
         resolve();
       });
     });
-    this.isHandedOver = true;
   }
 
   private keep(source: EndpointEntry, reason: string): void {
@@ -346,7 +349,6 @@
   private async takeMove(): Promise<StoppedRun | undefined> {
     const result = await this.move;
     this.move = undefined;
-    this.isHandedOver = false;
     return result === undefined || result.kind === 'kept' ? undefined : result;
   }
 
@@ -354,10 +356,10 @@
   private async openMoved(leg: StreamLeg, moved: StoppedRun): Promise<Opened> {
     const {memorySource} = moved;
     this.moves += 1;
-    if (moved.kind === 'stopped') {
+    if (moved.kind !== 'stopped_at_source') {
       const opened = await this.open({endpoint: moved.target, memorySource});
       this.logContinued(moved.target, opened);
-      if (opened.kind === 'leg') {
+      if (opened.kind === 'leg' || moved.kind === 'source_lost') {
         return opened;
       }
     }
