Tell other gateways of endpoints that come, and let those that are told read seldom

Cause: engines leave in waves and others take their place; a gateway that reads the endpoints every 2 s uses a new engine a second late on average, while memory is short. Those reads were also a quarter of the priced calls to the store.

Change: gateways tell what they have read of for the first time; a gateway uses it at once and drops it when no read of its own confirms it within 8 s. One that hears from a reader reads every 5 s, and at once when the readers' word is older than half of the draining bound. Who reaches the store is told by the age of any read. Reads of the configuration count as contact, so that seldom reads of endpoints are not taken for an outage.

--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -47,6 +47,12 @@
  */
 export const LAPSED_ENTRY_GRACE_MILLISECONDS = 2_000;
 
+/**
+ * Time for which an endpoint that only a peer told of is used: a read of one's
+ * own has confirmed it by then.
+ */
+export const UNCONFIRMED_ENTRY_MILLISECONDS = 8_000;
+
 /** Heartbeats of silence after which the store may drop an entry. */
 export const HEARTBEATS_UNTIL_LAPSE = 2;
 
--- a/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
@@ -46,6 +46,53 @@
     assert.deepEqual(readyIds(), ['a']);
   });
 
+  describe('an endpoint that a peer told of', () => {
+    it('gets work at once and stays when an entry confirms it', () => {
+      const {registry, time, came, readyIds} = createRegistry();
+      registry.putArrived(createEntry('a'));
+      assert.deepEqual(readyIds(), ['a']);
+      registry.put(createEntry('a', {sequence: 2}));
+      time.now = 60_000;
+      registry.expire();
+      assert.deepEqual(readyIds(), ['a']);
+      assert.deepEqual(came, ['a']);
+    });
+
+    it('is dropped when no entry confirms it', () => {
+      const {registry, time, readyIds} = createRegistry();
+      registry.putArrived(createEntry('a'));
+      time.now = 60_000;
+      registry.expire();
+      assert.deepEqual(readyIds(), []);
+    });
+
+    it('does not come back once it has left', () => {
+      const {registry, readyIds} = createRegistry();
+      registry.put(createEntry('a'));
+      registry.remove('a');
+      registry.putArrived(createEntry('a'));
+      assert.deepEqual(readyIds(), []);
+    });
+
+    it('leaves like any other', () => {
+      const {registry, left, readyIds} = createRegistry();
+      registry.putArrived(createEntry('a'));
+      registry.putLeaving({id: 'a', startedAt: 1});
+      assert.deepEqual(readyIds(), []);
+      registry.putArrived(createEntry('b'));
+      registry.remove('b');
+      assert.deepEqual(readyIds(), []);
+      assert.deepEqual(left, ['a told_by_peer', 'b entry_removed']);
+    });
+
+    it('does not replace what the store told', () => {
+      const {registry, readyIds} = createRegistry();
+      registry.put(createEntry('a', {state: 'draining'}));
+      registry.putArrived(createEntry('a'));
+      assert.deepEqual(readyIds(), []);
+    });
+  });
+
   describe('an endpoint that leaves', () => {
     it('gets nothing more and is told of once', () => {
       const {registry, left, readyIds} = createRegistry();
--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -5,6 +5,7 @@
   DEPARTED_ENTRY_MEMORY_MILLISECONDS,
   HEARTBEATS_UNTIL_LAPSE,
   LAPSED_ENTRY_GRACE_MILLISECONDS,
+  UNCONFIRMED_ENTRY_MILLISECONDS,
 } from '../constants.js';
 
 /** What an endpoint says of itself. */
@@ -30,6 +31,9 @@
 export type LeavingReason =
   'draining' | 'entry_removed' | 'restarted' | 'told_by_peer';
 
+/** Who told of an endpoint. */
+export type EntrySource = 'store' | 'peer';
+
 /** One life of an endpoint. */
 export interface EndpointLife {
   readonly id: string;
@@ -45,7 +49,7 @@
   /** Told once when an endpoint begins to leave or is gone. */
   readonly onLeaving: (entry: EndpointEntry, reason: LeavingReason) => void;
   /** Told once when an endpoint that was not known takes work. */
-  readonly onReady?: (entry: EndpointEntry) => void;
+  readonly onReady?: (entry: EndpointEntry, source: EntrySource) => void;
 }
 
 /** What remains of an endpoint that is gone. */
@@ -58,6 +62,8 @@
   entry: EndpointEntry;
   /** Set while an outage may have removed the entry of a live endpoint. */
   goneAt?: number;
+  /** Set while only a peer has told of it: when it is dropped. */
+  unconfirmedUntil?: number;
 }
 
 /**
@@ -125,8 +131,23 @@
       this.options.onLeaving(entry, 'draining');
     }
     if (entry.state === 'ready' && (before === undefined || !isSameLife)) {
-      this.options.onReady?.(entry);
+      this.options.onReady?.(entry, 'store');
+    }
+  }
+
+  /**
+   * Takes the word of a peer that an endpoint has come. It is used at once, and
+   * dropped when no entry of the store confirms it.
+   */
+  putArrived(entry: EndpointEntry): void {
+    if (this.known.has(entry.id) || this.departed.has(entry.id)) {
+      return;
     }
+    const unconfirmedUntil =
+      this.options.now() + UNCONFIRMED_ENTRY_MILLISECONDS;
+    this.known.set(entry.id, {entry, unconfirmedUntil});
+    this.ready.clear();
+    this.options.onReady?.(entry, 'peer');
   }
 
   /** Takes the word of a peer that a life of an endpoint is leaving. */
@@ -167,8 +188,9 @@
         this.departed.delete(id);
       }
     }
-    for (const {entry, goneAt} of [...this.known.values()]) {
-      if (goneAt !== undefined && now >= goneAt) {
+    for (const {entry, goneAt, unconfirmedUntil} of [...this.known.values()]) {
+      const until = goneAt ?? unconfirmedUntil;
+      if (until !== undefined && now >= until) {
         this.forget(entry);
       }
     }
--- a/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.test.ts
+++ b/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.test.ts
@@ -59,7 +59,7 @@
     random: () => 0,
     signal: ended.signal,
     longPollMilliseconds: 500,
-    gatherMilliseconds: () => 50,
+    gather: signal => clock.sleep(50, signal),
     onSnapshot: records =>
       seen.push(`all ${records.map(({key}) => key).join()}`),
     onRecords: records => seen.push(records.map(({key}) => key).join()),
--- a/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
+++ b/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
@@ -64,8 +64,8 @@
   readonly signal: AbortSignal;
   /** How long the store may wait for a record, in milliseconds. */
   readonly longPollMilliseconds: number;
-  /** Pause after records, so that the next read gathers several. */
-  readonly gatherMilliseconds: () => number;
+  /** Waits after records, so that the next read gathers several. */
+  readonly gather: (signal: AbortSignal) => Promise<void>;
   /** Takes all keys; those that are not among them are gone. */
   readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
   /** Takes records in order, later ones of a key replacing earlier ones. */
@@ -132,7 +132,7 @@
     const isEmpty = answer.value.records.length === 0;
     confirm(isEmpty && !isSnapshot ? wait : 0);
     if (!isEmpty) {
-      await clock.sleep(options.gatherMilliseconds(), signal);
+      await options.gather(signal);
     }
   }
 }
--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -24,6 +24,8 @@
 import type {GatewayPeer} from '@briarpin/forwarding';
 import {runTask, type EventLogger} from '@briarpin/telemetry';
 
+import {gatherEndpoints, type EndpointReaders} from './gather_endpoints.js';
+
 /** Topic in which gateways tell where they take news of one another. */
 export const GATEWAYS_TOPIC = 'keyed.gateways';
 
@@ -48,18 +50,6 @@
  */
 const GATEWAYS_GATHER_MILLISECONDS = 8_000;
 
-/**
- * Pause after records of endpoints, so that one read gathers several: a small
- * part of the notice with which endpoints leave.
- */
-const READER_GATHER_MILLISECONDS = 90;
-
-/**
- * The same at a gateway that hears of endpoints that leave from those that
- * read, as a part of the time after which they may get no more work.
- */
-const FOLLOWER_GATHER_SHARE = 0.5;
-
 /** What is known from the store. */
 export interface StoreKnowledge {
   configuration?: RoutingConfiguration;
@@ -77,7 +67,7 @@
 }
 
 /** What {@link followStore} needs. */
-export interface FollowStoreOptions {
+export interface FollowStoreOptions extends EndpointReaders {
   readonly store: KeyedTopicStore;
   readonly clock: Clock;
   readonly random: () => number;
@@ -88,8 +78,6 @@
   readonly guard: ContactGuard;
   readonly endpoints: EndpointRegistry;
   readonly bounds: StoreBounds;
-  /** True when this gateway tells the others of endpoints that leave. */
-  readonly isReader: () => boolean;
   /** Told of each answer about the endpoints. */
   readonly onEndpointsRead: () => void;
   readonly onConfiguration: (configuration: RoutingConfiguration) => void;
@@ -98,11 +86,7 @@
 
 type TopicOptions = Pick<
   FollowKeyedTopicOptions,
-  | 'onSnapshot'
-  | 'onRecords'
-  | 'onRead'
-  | 'gatherMilliseconds'
-  | 'longPollMilliseconds'
+  'onSnapshot' | 'onRecords' | 'onRead' | 'gather' | 'longPollMilliseconds'
 >;
 
 /** Follows all topics in the background until the signal ends it. */
@@ -169,7 +153,7 @@
 }
 
 function followConfiguration(options: FollowStoreOptions): TopicOptions {
-  const {guard, bounds} = options;
+  const {guard, bounds, endpoints} = options;
   const take = (records: readonly KeyedRecord[]) =>
     records.forEach(record => applyConfiguration(record, options));
   return {
@@ -177,13 +161,17 @@
       bounds.configurationMilliseconds * CONFIGURATION_POLL_SHARE,
       bounds.revocationMilliseconds * REVOCATION_POLL_SHARE,
     ),
-    gatherMilliseconds: () => 0,
+    gather: () => Promise.resolve(),
     onSnapshot: take,
     onRecords: take,
     onRead: () => {
       const sentAt = guard.mark();
-      return waitedMilliseconds =>
+      return waitedMilliseconds => {
         guard.confirm(Math.min(guard.mark(), sentAt + waitedMilliseconds));
+        // Endpoints may be read seldom; this read shows no less that the
+        // store was there.
+        endpoints.noteContact();
+      };
     },
   };
 }
@@ -217,10 +205,7 @@
   const {endpoints, known} = options;
   return {
     longPollMilliseconds: ENDPOINTS_POLL_MILLISECONDS,
-    gatherMilliseconds: () =>
-      options.isReader()
-        ? READER_GATHER_MILLISECONDS
-        : options.bounds.drainMilliseconds * FOLLOWER_GATHER_SHARE,
+    gather: signal => gatherEndpoints(options, signal),
     onSnapshot: records => {
       endpoints.noteContact();
       const entries = records.map(record => decode(record, options));
@@ -277,7 +262,7 @@
   };
   return {
     longPollMilliseconds: GATEWAYS_POLL_MILLISECONDS,
-    gatherMilliseconds: () => GATEWAYS_GATHER_MILLISECONDS,
+    gather: signal => options.clock.sleep(GATEWAYS_GATHER_MILLISECONDS, signal),
     onSnapshot: records => {
       peers.clear();
       take(records);
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -12,6 +12,7 @@
   selectReaders,
   STEADY_CLOCK,
   type EndpointEntry,
+  type EntrySource,
   type LeavingReason,
 } from '@briarpin/coordination';
 import {
@@ -38,7 +39,13 @@
   GATEWAYS_TOPIC,
   type StoreKnowledge,
 } from './follow_store.js';
-import {RecentDepartures} from './recent_departures.js';
+import {
+  fromArrived,
+  fromLeaving,
+  toArrived,
+  toLeaving,
+} from './endpoint_news.js';
+import {RecentlySeen} from './recently_seen.js';
 import {serveMetrics} from './serve_metrics.js';
 import {serveReadiness} from './serve_readiness.js';
 
@@ -64,10 +71,17 @@
 const SILENT_GATEWAY_MILLISECONDS = 2_000;
 
 /**
- * Age of the endpoints at which a gateway does not count as one that reaches
- * the store: two reads of one that hears from the readers.
+ * Age of what a gateway has read at which it does not count as one that
+ * reaches the store: above the longest time for which the store holds a read of
+ * the configuration.
  */
-const READER_AGE_MILLISECONDS = 3_000;
+const CONTACT_AGE_MILLISECONDS = 3_000;
+
+/** Time for which a departure is told: several datagrams may be lost. */
+const DEPARTURE_TOLD_MILLISECONDS = 2_500;
+
+/** Time for which an arrival is told: two regular reports of a large fleet. */
+const ARRIVAL_TOLD_MILLISECONDS = 1_000;
 
 /** Largest age that gateways tell one another; fits into the message. */
 const MAXIMUM_TOLD_AGE_MILLISECONDS = 3_600_000;
@@ -101,7 +115,8 @@
   readonly known: StoreKnowledge;
   readonly guard: ContactGuard;
   readonly ended: AbortController;
-  readonly departures: RecentDepartures;
+  readonly departures: RecentlySeen<EndpointEntry>;
+  readonly arrivals: RecentlySeen<EndpointEntry>;
   isLeaving: boolean;
   /** When endpoints were last read from the store, by the steady clock. */
   endpointsReadAt: number;
@@ -126,7 +141,8 @@
       wallMilliseconds: () => Date.now(),
     }),
     ended: new AbortController(),
-    departures: new RecentDepartures(STEADY_CLOCK),
+    departures: new RecentlySeen(STEADY_CLOCK, DEPARTURE_TOLD_MILLISECONDS),
+    arrivals: new RecentlySeen(STEADY_CLOCK, ARRIVAL_TOLD_MILLISECONDS),
     isLeaving: false,
     endpointsReadAt: Number.NEGATIVE_INFINITY,
   };
@@ -144,6 +160,20 @@
       state.departures.add(entry);
       runTask('evacuation', logger, () => evacuate(entry, gateway, mesh));
     },
+    onReady: (entry, source) => {
+      logger.info('endpoint_ready', {
+        endpoint: entry.id,
+        service: entry.service,
+        availability_zone: entry.availabilityZone,
+        address: `${entry.host}:${entry.port}`,
+        cold: entry.coldMilliseconds,
+        source,
+      });
+      // The first snapshot holds nothing that is new to the others.
+      if (source === 'store' && state.known.hasEndpoints) {
+        state.arrivals.add(entry);
+      }
+    },
     onWorkBegun: () => mesh.tell(),
   });
   const gateway = createGateway(settings, parts, state);
@@ -246,10 +276,11 @@
     endpoints,
     bounds: settings.bounds,
     isReader: () => {
-      const readers = mesh.findReaders(READER_AGE_MILLISECONDS);
+      const others = mesh.findInContact(CONTACT_AGE_MILLISECONDS);
       const {gateway: self} = mesh;
-      return selectReaders([self, ...readers], ENDPOINTS_TOPIC).includes(self);
+      return selectReaders([self, ...others], ENDPOINTS_TOPIC).includes(self);
     },
+    toldEndpointsAgeMilliseconds: () => mesh.toldEndpointsAgeMilliseconds(),
     onEndpointsRead: () => (state.endpointsReadAt = clock.now()),
     onConfiguration: configuration => gateway.applyLimits(configuration.limits),
     onGateways: gateways => {
@@ -289,6 +320,7 @@
 /** What the parts tell those that are built after them. */
 interface PartListeners {
   readonly onLeaving: (entry: EndpointEntry, reason: LeavingReason) => void;
+  readonly onReady: (entry: EndpointEntry, source: EntrySource) => void;
   readonly onWorkBegun: () => void;
 }
 
@@ -296,7 +328,7 @@
   settings: InstanceSettings,
   {logger, histograms, metrics}: Telemetry,
   state: {readonly isLeaving: boolean},
-  {onLeaving, onWorkBegun}: PartListeners,
+  {onLeaving, onReady, onWorkBegun}: PartListeners,
 ): ForwardingParts {
   const clock = STEADY_CLOCK;
   const dialect = new RequestDialect();
@@ -307,14 +339,7 @@
       heartbeatMilliseconds: settings.heartbeatMilliseconds,
       now: () => clock.now(),
       onLeaving,
-      onReady: entry =>
-        logger.info('endpoint_ready', {
-          endpoint: entry.id,
-          service: entry.service,
-          availability_zone: entry.availabilityZone,
-          address: `${entry.host}:${entry.port}`,
-          cold: entry.coldMilliseconds,
-        }),
+      onReady,
     }),
     loads: new EndpointLoads({
       now: () => clock.now(),
@@ -379,19 +404,18 @@
     startedAt: Date.now(),
     readNews: () => ({
       work: gateway.readWork(),
-      leaving: state.departures.list(),
-      endpointsAgeMilliseconds: Math.min(
-        MAXIMUM_TOLD_AGE_MILLISECONDS,
-        Math.round(clock.now() - state.endpointsReadAt),
-      ),
+      leaving: state.departures.list().map(toLeaving),
+      arrived: state.arrivals.list().map(toArrived),
+      endpointsAgeMilliseconds: toToldAge(clock.now() - state.endpointsReadAt),
+      storeAgeMilliseconds: toToldAge(state.guard.ageMilliseconds()),
     }),
     onNews: news => {
       loads.setOthersWork(news.gateway, news.work);
-      news.leaving.forEach(({endpoint, startedAt}) =>
-        endpoints.putLeaving({
-          id: endpoint,
-          startedAt: startedAt === 0 ? undefined : startedAt,
-        }),
+      news.arrived.forEach(arrived =>
+        endpoints.putArrived(fromArrived(arrived)),
+      );
+      news.leaving.forEach(leaving =>
+        endpoints.putLeaving(fromLeaving(leaving)),
       );
       mesh
         .forgetSilent(SILENT_GATEWAY_MILLISECONDS)
@@ -401,6 +425,11 @@
   return mesh;
 }
 
+/** An age as it is told: whole, and not larger than the message can hold. */
+function toToldAge(milliseconds: number): number {
+  return Math.min(MAXIMUM_TOLD_AGE_MILLISECONDS, Math.round(milliseconds));
+}
+
 /** Moves runs off an endpoint, in turn with the other gateways. */
 async function evacuate(
   entry: EndpointEntry,
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.test.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.test.ts
@@ -10,6 +10,18 @@
 
 import {GatewayMesh, type ReceivedNews} from './gateway_mesh.js';
 
+const ARRIVED = {
+  endpoint: 'e-3',
+  service: 'text',
+  host: '10.0.0.3',
+  port: 8_000,
+  availabilityZone: 'east-1',
+  slots: 4,
+  coldMilliseconds: 0,
+  startedAt: 6,
+  sequence: 1,
+};
+
 const ended: AbortController[] = [];
 const runs: Array<Promise<void>> = [];
 
@@ -37,7 +49,9 @@
         {endpoint: 'e-1', requests, tokens: 9, movableRuns: 1, promptTokens: 4},
       ],
       leaving: [{endpoint: 'e-2', startedAt: 3}],
+      arrived: [ARRIVED],
       endpointsAgeMilliseconds: 12,
+      storeAgeMilliseconds: 5,
     }),
     onNews: news => {
       received.push(news);
@@ -82,8 +96,14 @@
     assert.equal(news.work.get('e-1')?.promptTokens, 4);
     assert.deepEqual(news.leaving[0]?.endpoint, 'e-2');
     assert.equal(second.mesh.findPeersWithRuns('e-1')[0]?.movableRuns, 1);
-    assert.deepEqual(second.mesh.findReaders(10_000), ['first']);
-    assert.deepEqual(second.mesh.findReaders(1), []);
+    assert.deepEqual(news.arrived, [ARRIVED]);
+    assert.deepEqual(second.mesh.findInContact(10_000), ['first']);
+    assert.deepEqual(second.mesh.findInContact(1), []);
+    assert.ok(second.mesh.toldEndpointsAgeMilliseconds() >= 12);
+    assert.equal(
+      first.mesh.toldEndpointsAgeMilliseconds(),
+      Number.POSITIVE_INFINITY,
+    );
   });
 
   it('answers a gateway that it has only heard', async () => {
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
@@ -6,6 +6,7 @@
 import type {Clock} from '@briarpin/coordination';
 import {
   GatewayNews,
+  type ArrivedEndpoint,
   type EndpointWork,
   type LeavingEndpoint,
 } from '@briarpin/messages';
@@ -25,8 +26,12 @@
   readonly work: ReadonlyMap<string, EndpointWork>;
   /** Endpoints that it has lately seen leave. */
   readonly leaving: readonly LeavingEndpoint[];
+  /** Endpoints that it has lately read of for the first time. */
+  readonly arrived: readonly ArrivedEndpoint[];
   /** Time since it had read the endpoints from the store. */
   readonly endpointsAgeMilliseconds: number;
+  /** Time since it had read anything from the store. */
+  readonly storeAgeMilliseconds: number;
   /** Milliseconds of the clock. */
   readonly receivedAt: number;
 }
@@ -35,7 +40,9 @@
 export interface OwnNews {
   readonly work: EndpointWork[];
   readonly leaving: LeavingEndpoint[];
+  readonly arrived: ArrivedEndpoint[];
   readonly endpointsAgeMilliseconds: number;
+  readonly storeAgeMilliseconds: number;
 }
 
 /** Options of {@link GatewayMesh}. */
@@ -118,17 +125,27 @@
     return this.options.gateway;
   }
 
-  /** Gateways that are heard and that read the endpoints from the store. */
-  findReaders(maximumAgeMilliseconds: number): string[] {
+  /** Gateways that are heard and that reach the store. */
+  findInContact(maximumAgeMilliseconds: number): string[] {
     const now = this.options.clock.now();
     return [...this.newest.values()]
       .filter(
-        ({endpointsAgeMilliseconds, receivedAt}) =>
-          endpointsAgeMilliseconds + now - receivedAt < maximumAgeMilliseconds,
+        ({storeAgeMilliseconds, receivedAt}) =>
+          storeAgeMilliseconds + now - receivedAt < maximumAgeMilliseconds,
       )
       .map(({gateway}) => gateway);
   }
 
+  /** Age of the newest endpoints that another gateway has told of. */
+  toldEndpointsAgeMilliseconds(): number {
+    const now = this.options.clock.now();
+    const ages = [...this.newest.values()].map(
+      ({endpointsAgeMilliseconds, receivedAt}) =>
+        endpointsAgeMilliseconds + now - receivedAt,
+    );
+    return Math.min(Number.POSITIVE_INFINITY, ...ages);
+  }
+
   /** Other gateways that want to move runs off an endpoint. */
   findPeersWithRuns(endpointId: string): EvacuationPeer[] {
     const now = this.options.clock.now();
@@ -158,14 +175,13 @@
   /** Tells the others now. */
   tell(): void {
     this.sequence += 1;
-    const {work, leaving, endpointsAgeMilliseconds} = this.options.readNews();
+    const news = this.options.readNews();
     const message = GatewayNews.encode({
+      ...news,
       gateway: this.options.gateway,
       startedAt: this.options.startedAt,
       sequence: this.sequence,
-      work: work.slice(0, MAXIMUM_ENTRIES),
-      leaving,
-      endpointsAgeMilliseconds,
+      work: news.work.slice(0, MAXIMUM_ENTRIES),
     }).finish();
     for (const {host, port} of [...this.peers, ...this.heard.values()]) {
       this.socket.send(message, port, host);
@@ -198,7 +214,7 @@
       this.options.logger.warn('gateway_news_broken', {message: text});
       return;
     }
-    const {gateway, startedAt, sequence} = news;
+    const {gateway} = news;
     const before = this.newest.get(gateway);
     if (before !== undefined && !isNewer(news, before)) {
       return;
@@ -208,12 +224,8 @@
       this.heard.set(gateway, {gateway, host, port});
     }
     const received = {
-      gateway,
-      startedAt,
-      sequence,
+      ...news,
       work: new Map(news.work.map(entry => [entry.endpoint, entry])),
-      leaving: news.leaving,
-      endpointsAgeMilliseconds: news.endpointsAgeMilliseconds,
       receivedAt: this.options.clock.now(),
     };
     this.newest.set(gateway, received);
--- a/packages/messages/src/index.ts
+++ b/packages/messages/src/index.ts
@@ -18,6 +18,7 @@
 export * from './generated/engine_token_event.js';
 export {
   GatewayNews,
+  type ArrivedEndpoint,
   type EndpointWork,
   type LeavingEndpoint,
 } from './generated/gateway_news.js';
