Split the stream session and the wiring of a machine

Change: StreamWriter writes to the caller, RunMover moves the run, StreamSession keeps the attempts; computeHop, readNews, takeNews and MachineState stand on their own, wire_machine constructs. A stream whose caller has left or whose time is over now ends without waiting for a move that is going on, and the copy of that move is freed.

--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -32,19 +32,11 @@
 } from '@briarpin/machines';
 import {runTask, type EventLogger} from '@briarpin/telemetry';
 
+import {computeHop} from './compute_hop.js';
 import {createTelemetry, type Telemetry} from './create_telemetry.js';
-import {
-  encodeGateway,
-  followStore,
-  GATEWAYS_TOPIC,
-  type StoreKnowledge,
-} from './follow_store.js';
-import {
-  fromArrived,
-  fromLeaving,
-  toArrived,
-  toLeaving,
-} from './endpoint_news.js';
+import {readNews, takeNews} from './exchange_news.js';
+import {encodeGateway, followStore, GATEWAYS_TOPIC} from './follow_store.js';
+import type {MachineState} from './machine_state.js';
 import {RecentlySeen} from './recently_seen.js';
 import {serveMetrics} from './serve_metrics.js';
 import {serveReadiness} from './serve_readiness.js';
@@ -67,9 +59,6 @@
 /** Time left before SIGKILL when open requests are given up. */
 const STOP_RESERVE_MILLISECONDS = 250;
 
-/** Silence after which the work that a gateway told of counts as ended. */
-const SILENT_GATEWAY_MILLISECONDS = 2_000;
-
 /**
  * Age of what a gateway has read at which it does not count as one that
  * reaches the store: above the longest time for which the store holds a read of
@@ -83,13 +72,6 @@
 /** Time for which an arrival is told: two regular reports of a large fleet. */
 const ARRIVAL_TOLD_MILLISECONDS = 1_000;
 
-/** Largest age that gateways tell one another; fits into the message. */
-const MAXIMUM_TOLD_AGE_MILLISECONDS = 3_600_000;
-
-/** Round trips by distance, in milliseconds. */
-const SAME_REGION_HOP_MILLISECONDS = 2;
-const OTHER_REGION_HOP_MILLISECONDS = 24;
-
 /** A gateway that is running. */
 export interface RunningMachine {
   readonly logger: EventLogger;
@@ -110,18 +92,6 @@
   readonly metrics: number;
 }
 
-/** What the parts of a process share while it runs. */
-interface MachineState {
-  readonly known: StoreKnowledge;
-  readonly guard: ContactGuard;
-  readonly ended: AbortController;
-  readonly departures: RecentlySeen<EndpointEntry>;
-  readonly arrivals: RecentlySeen<EndpointEntry>;
-  isLeaving: boolean;
-  /** When endpoints were last read from the store, by the steady clock. */
-  endpointsReadAt: number;
-}
-
 /**
  * Starts a gateway.
  *
@@ -360,16 +330,6 @@
   };
 }
 
-function computeHop(settings: InstanceSettings, entry: EndpointEntry): number {
-  if (entry.availabilityZone === settings.availabilityZone) {
-    return 0;
-  }
-  const region = settings.regionsByAvailabilityZone.get(entry.availabilityZone);
-  return region === settings.region
-    ? SAME_REGION_HOP_MILLISECONDS
-    : OTHER_REGION_HOP_MILLISECONDS;
-}
-
 function createGateway(
   settings: InstanceSettings,
   parts: ForwardingParts,
@@ -394,7 +354,7 @@
   gateway: ForwardingGateway,
   state: MachineState,
 ): GatewayMesh {
-  const {loads, clock, logger, endpoints} = parts;
+  const {clock, logger} = parts;
   const mesh: GatewayMesh = new GatewayMesh({
     gateway: settings.instance,
     host: settings.ip,
@@ -402,34 +362,12 @@
     clock,
     logger,
     startedAt: Date.now(),
-    readNews: () => ({
-      work: gateway.readWork(),
-      leaving: state.departures.list().map(toLeaving),
-      arrived: state.arrivals.list().map(toArrived),
-      endpointsAgeMilliseconds: toToldAge(clock.now() - state.endpointsReadAt),
-      storeAgeMilliseconds: toToldAge(state.guard.ageMilliseconds()),
-    }),
-    onNews: news => {
-      loads.setOthersWork(news.gateway, news.work);
-      news.arrived.forEach(arrived =>
-        endpoints.putArrived(fromArrived(arrived)),
-      );
-      news.leaving.forEach(leaving =>
-        endpoints.putLeaving(fromLeaving(leaving)),
-      );
-      mesh
-        .forgetSilent(SILENT_GATEWAY_MILLISECONDS)
-        .forEach(silent => loads.forgetGateway(silent));
-    },
+    readNews: () => readNews(gateway, state, clock.now()),
+    onNews: news => takeNews(news, parts, mesh),
   });
   return mesh;
 }
 
-/** An age as it is told: whole, and not larger than the message can hold. */
-function toToldAge(milliseconds: number): number {
-  return Math.min(MAXIMUM_TOLD_AGE_MILLISECONDS, Math.round(milliseconds));
-}
-
 /** Moves runs off an endpoint, in turn with the other gateways. */
 async function evacuate(
   entry: EndpointEntry,
--- a/packages/forwarding/src/run_evacuation/run_evacuation.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.ts
@@ -68,7 +68,7 @@
   | {readonly kind: 'kept'; readonly reason: string};
 
 /** A complete copy of a run's memory up to some of its events. */
-interface RunCopy {
+export interface RunCopy {
   readonly target: EndpointEntry;
   readonly handle: string;
 }
@@ -192,7 +192,10 @@
 }
 
 /** Frees the memory and the slot that a copy takes at its target. */
-function dropCopy(copy: RunCopy | undefined, {dialect, logger}: MoveParts) {
+export function dropCopy(
+  copy: RunCopy | undefined,
+  {dialect, logger}: Pick<ForwardingParts, 'dialect' | 'logger'>,
+): void {
   if (copy !== undefined) {
     const {target, handle} = copy;
     runTask('drop_copy', logger, () =>
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -1,24 +1,18 @@
 /**
  * One stream to a caller, over all endpoints that produce a part of it.
  */
-import type {IncomingMessage} from 'node:http';
-
 import type {EndpointEntry} from '@briarpin/coordination';
 import {decideRetry} from '@briarpin/scheduling';
-import {runTask} from '@briarpin/telemetry';
 
 import {
   chooseCheckpointHolder,
-  chooseCopyTarget,
   chooseEngine,
   computeMemoryShare,
   estimateOutputTokens,
 } from '../choose_placement/choose_placement.js';
-import {computeCopyMilliseconds} from '../compute_copy_milliseconds/compute_copy_milliseconds.js';
 import type {MemorySource} from '../dialect/dialect.js';
 import type {EndpointChoice} from '../endpoint_loads/endpoint_loads.js';
 import {countEngineWork} from '../count_engine_work/count_engine_work.js';
-import type {WholeEvent} from '../event_splitter/event_splitter.js';
 import {
   answerUnanswered,
   deliverAnswer,
@@ -36,25 +30,14 @@
   type OpenFailure,
   type Unanswered,
 } from '../open_result/open_result.js';
-import {
-  moveRun,
-  type MoveResult,
-  type StoppedRun,
-} from '../run_evacuation/run_evacuation.js';
+import type {StoppedRun} from '../run_evacuation/run_evacuation.js';
+import {RunMover} from '../run_mover/run_mover.js';
 import {StreamLeg, type LegEnd} from '../stream_leg/stream_leg.js';
+import {StreamWriter} from '../stream_writer/stream_writer.js';
 
 /** When a caller may come back whose generation found no room. */
 const CROWDED_RETRY_MILLISECONDS = 500;
 
-/**
- * Time after which a last copy is ahead of those that other gateways ask for:
- * about a round trip between two regions.
- */
-const HANDOVER_MILLISECONDS = 25;
-
-/** Pause before a run is moved again that found no room: room comes soon. */
-const KEPT_MILLISECONDS = 120;
-
 /** A copy of the run's memory that the next endpoint goes on from. */
 interface Continuation {
   readonly endpoint: EndpointEntry;
@@ -64,6 +47,14 @@
 /** What opening a leg came to. */
 type Opened = {readonly kind: 'leg'; readonly leg: StreamLeg} | OpenFailure;
 
+/** The caller left, or its time is over. */
+const GIVEN_UP: Unanswered = {
+  kind: 'failed',
+  reason: 'the caller left or the time is over',
+  mayHaveRun: true,
+  wasSent: true,
+};
+
 /**
  * Serves a stream of events.
  *
@@ -76,19 +67,10 @@
   private leg: StreamLeg | undefined;
   /** Endpoint that the request was sent to and that has not answered yet. */
   private opening: EndpointEntry | undefined;
-  /** The first answer that held a stream. */
-  private head: IncomingMessage | undefined;
-  private lastEventId: string | undefined;
-  private events = 0;
-  private firstMilliseconds: number | undefined;
   private sends = 0;
   private moves = 0;
-  /** When a run that found no room is tried again, by the clock. */
-  private keptUntil = Number.NEGATIVE_INFINITY;
-  /** The leg whose last copy runs, so that another run may use the link. */
-  private handedOver: StreamLeg | undefined;
-  /** The move of the run that is going on, or that has stopped it. */
-  private move: Promise<MoveResult> | undefined;
+  private readonly writer: StreamWriter;
+  private readonly mover: RunMover;
 
   /**
    * @param exchange - The request
@@ -97,7 +79,13 @@
   constructor(
     private readonly exchange: Exchange,
     private readonly parts: ForwardingParts,
-  ) {}
+  ) {
+    this.writer = new StreamWriter(exchange, parts);
+    this.mover = new RunMover(exchange, parts, {
+      leg: () => this.leg,
+      events: () => this.writer.events,
+    });
+  }
 
   /** Endpoint that produces the stream now. */
   get endpointId(): string | undefined {
@@ -106,7 +94,7 @@
 
   /** True once the run has a memory that can be copied. */
   get hasBegun(): boolean {
-    return this.leg !== undefined && this.events > 0;
+    return this.leg !== undefined && this.writer.events > 0;
   }
 
   /**
@@ -132,20 +120,15 @@
       if (end.kind === 'complete') {
         return this.complete(end.remainder);
       }
-      const moved = await this.takeMove();
+      if (this.exchange.signal.aborted) {
+        this.mover.abandon();
+        return this.conclude(GIVEN_UP);
+      }
+      const moved = await this.mover.takeStopped();
       if (moved !== undefined) {
         opened = await this.openMoved(leg, moved);
         continue;
       }
-      if (this.exchange.signal.aborted) {
-        const reason = 'the caller left or the time is over';
-        return this.conclude({
-          kind: 'failed',
-          reason,
-          mayHaveRun: true,
-          wasSent: true,
-        });
-      }
       opened = await this.openNext(leg, end);
     }
   }
@@ -158,18 +141,14 @@
 
   /** True when the run should be moved now if its engine leaves. */
   get isMovable(): boolean {
-    return (
-      this.endsWithEngine &&
-      this.handedOver !== this.leg &&
-      this.parts.clock.now() >= this.keptUntil
-    );
+    return this.endsWithEngine && this.mover.isMovable;
   }
 
   /** Tokens that the generation is expected to produce from now on. */
   get expectedRemainingTokens(): number {
     const {exchange} = this;
     const perEvent = exchange.service.engine?.tokensPerEvent ?? 1;
-    const produced = this.events * perEvent;
+    const produced = this.writer.events * perEvent;
     return estimateOutputTokens(exchange) - produced;
   }
 
@@ -181,83 +160,9 @@
    * @returns When its link is free for the copy of another run
    */
   async moveAway(source: EndpointEntry, isAlone: boolean): Promise<void> {
-    const {exchange, parts, leg} = this;
-    const {requestId} = exchange.facts;
-    const isThere = () => this.leg === leg && leg?.endpoint.id === source.id;
-    if (requestId === undefined || !this.isMovable || !isThere()) {
-      return;
+    if (this.isMovable) {
+      await this.mover.moveAway(source, isAlone);
     }
-    await new Promise<void>(resolve => {
-      const moved = moveRun(
-        {
-          requestId,
-          source,
-          targetGapMilliseconds: exchange.route.targetGapMilliseconds,
-          idleLinkMilliseconds: this.estimateCopyMilliseconds(),
-          prepareTarget: target => parts.client.prepare(target),
-          isThere,
-          chooseTarget: excluded =>
-            this.chooseMoveTarget(source, excluded, isAlone),
-        },
-        parts,
-        () => {
-          runTask('handover', parts.logger, async () => {
-            await parts.clock.sleep(HANDOVER_MILLISECONDS);
-            this.handedOver = leg;
-            resolve();
-          });
-        },
-      );
-      this.move = moved;
-      runTask('move', parts.logger, async () => {
-        const result = await moved;
-        if (result.kind !== 'kept') {
-          this.handedOver = leg;
-        } else if (isThere()) {
-          this.move = undefined;
-          this.keep(source, result.reason);
-        }
-        resolve();
-      });
-    });
-  }
-
-  private keep(source: EndpointEntry, reason: string): void {
-    this.keptUntil = this.parts.clock.now() + KEPT_MILLISECONDS;
-    this.parts.logger.info('move_failed', {
-      request: this.exchange.facts.requestId,
-      source: source.id,
-      reason,
-    });
-  }
-
-  /** Time for a copy of the whole memory on an idle link. */
-  private estimateCopyMilliseconds(): number {
-    const {facts, service} = this.exchange;
-    const {engine} = service;
-    return engine === undefined
-      ? 0
-      : computeCopyMilliseconds(
-          engine,
-          facts.promptTokens + this.events * engine.tokensPerEvent,
-        );
-  }
-
-  /** The engine that holds a checkpoint comes first: little is left to copy. */
-  private chooseMoveTarget(
-    source: EndpointEntry,
-    excluded: readonly string[],
-    mayLeaveRegion: boolean,
-  ): EndpointEntry | undefined {
-    const {exchange, parts} = this;
-    const candidates = parts.endpoints
-      .findReady(exchange.service.name)
-      .filter(entry => entry.id !== source.id && !excluded.includes(entry.id));
-    const holder = this.leg?.checkpointHolder;
-    return (
-      candidates.find(entry => entry.id === holder?.id) ??
-      chooseCopyTarget(exchange, parts, source, {candidates, mayLeaveRegion})
-    );
   }
 
   private async openFirst(): Promise<Opened> {
@@ -328,10 +233,11 @@
       request: this.exchange.facts.requestId,
       endpoint: leg.endpoint.id,
       reason,
-      events: this.events,
+      events: this.writer.events,
       checkpoint: leg.checkpointHolder?.id,
     });
-    const checkpoint = this.events > 0 ? this.findCheckpoint(leg) : undefined;
+    const checkpoint =
+      this.writer.events > 0 ? this.findCheckpoint(leg) : undefined;
     if (checkpoint !== undefined) {
       const opened = await this.open(checkpoint);
       this.logContinued(checkpoint.endpoint, opened);
@@ -345,13 +251,6 @@
     return failed;
   }
 
-  /** What the move came to that stopped the run, if one did. */
-  private async takeMove(): Promise<StoppedRun | undefined> {
-    const result = await this.move;
-    this.move = undefined;
-    return result === undefined || result.kind === 'kept' ? undefined : result;
-  }
-
   /** Goes on with the memory of a run that was stopped to be moved. */
   private async openMoved(leg: StreamLeg, moved: StoppedRun): Promise<Opened> {
     const {memorySource} = moved;
@@ -373,7 +272,7 @@
       request: this.exchange.facts.requestId,
       endpoint: endpoint.id,
       outcome: opened.kind,
-      events: this.events,
+      events: this.writer.events,
       reason: opened.kind === 'failed' ? opened.reason : undefined,
     });
   }
@@ -416,7 +315,7 @@
           organisation: exchange.organisation?.name,
           urgency: rankUrgency(exchange),
           checkpointAt: holder,
-          lastEventId: this.lastEventId,
+          lastEventId: this.writer.lastEventId,
           memorySource: continuation.memorySource,
         },
       ),
@@ -436,7 +335,7 @@
       logFailedAttempt(exchange, parts, endpoint.id, reason);
       return failure;
     }
-    this.head ??= result.response;
+    this.writer.noteAnswer(result.response);
     const leg = new StreamLeg({
       endpoint,
       response: result.response,
@@ -446,54 +345,15 @@
       release: counted.release,
       onEvent: event => {
         counted.noteEvent();
-        return this.forward(event);
+        return this.writer.write(event);
       },
     });
     return {kind: 'leg', leg};
   }
 
-  private forward(event: WholeEvent): Promise<void> | undefined {
-    const {response} = this.exchange;
-    if (response.destroyed) {
-      return undefined;
-    }
-    this.writeHead();
-    this.events += 1;
-    this.lastEventId = event.id ?? this.lastEventId;
-    if (response.write(event.bytes)) {
-      return undefined;
-    }
-    return new Promise(resolve => {
-      response.once('drain', resolve);
-      response.once('close', resolve);
-    });
-  }
-
-  /** The head of the first endpoint is the head of the answer. */
-  private writeHead(): void {
-    const {response, arrivedAt} = this.exchange;
-    const {head} = this;
-    if (response.headersSent || head === undefined) {
-      return;
-    }
-    this.firstMilliseconds = this.parts.clock.now() - arrivedAt;
-    const headers = this.parts.dialect.writeAnswer(head.rawHeaders);
-    if (this.parts.isLeaving()) {
-      headers.push('Connection', 'close');
-    }
-    response.writeHead(head.statusCode ?? 0, headers);
-  }
-
   private complete(remainder: Buffer): ExchangeEnd {
-    const {response} = this.exchange;
-    this.writeHead();
-    response.end(remainder);
-    return {
-      outcome: 'done',
-      status: response.statusCode,
-      firstMilliseconds: this.firstMilliseconds,
-      reason: this.moves > 0 ? `moved ${this.moves} times` : undefined,
-    };
+    const reason = this.moves > 0 ? `moved ${this.moves} times` : undefined;
+    return {...this.writer.complete(remainder), reason};
   }
 
   private conclude({reason, mayHaveRun}: Unanswered): ExchangeEnd {
