Let a caller that broke off come back to its generation

Cause: a gateway whose caller closed its connection revoked the attempt, which aborted it at the sidecar; the sidecar's grace for readers that are gone (resumeGraceMilliseconds) never began. A caller that came back to any gateway got a few more tokens and then generation_lost.

Change: once tokens have been delivered, a gateway whose caller has gone only drops its own call. The sidecar goes on and ends what nobody reads for the grace; 0 ends it at once where that is wanted. Nothing delivered yet: revoked as before.

--- a/packages/daemon/src/gateway/generation_session.ts
+++ b/packages/daemon/src/gateway/generation_session.ts
@@ -303,6 +303,10 @@
 
   /** Asks what became of an attempt whose connection broke. */
   private async settleBroken(isDelivered: boolean): Promise<AttemptEnd> {
+    if (isDelivered && this.ended.signal.aborted) {
+      // The caller may come back; the sidecar ends what nobody reads for long.
+      return lost();
+    }
     const outcome = await this.revoke();
     if (isDelivered) {
       return lost();
--- a/packages/stand_ins/src/invariants/tokens_once.test.ts
+++ b/packages/stand_ins/src/invariants/tokens_once.test.ts
@@ -84,6 +84,26 @@
     assertOnceInOrder([...broken.eventIds, ...resumed.eventIds]);
   });
 
+  it('when the caller breaks off and comes back to another gateway', async () => {
+    const caller = new AbortController();
+    const {url} = fleet.gateway('gateway-1');
+    const broken = await streamWithFault(url, 8, 40, () => caller.abort(), {
+      signal: caller.signal,
+    });
+    assert.equal(broken.complete, false);
+    const resumed = await askForCompletion({
+      gateway: fleet.gateway('gateway-2').url,
+      key: KEY,
+      model: MODEL,
+      prompt: `len=${LENGTH} seed=8`,
+      stream: true,
+      lastEventId: broken.eventIds.at(-1) ?? '',
+    });
+    assert.equal(resumed.complete, true, JSON.stringify(resumed.error));
+    assert.equal(broken.text + resumed.text, expectedText(LENGTH, 8));
+    assertOnceInOrder([...broken.eventIds, ...resumed.eventIds]);
+  });
+
   it('when the link to the engine is cut and heals', async () => {
     const {url} = fleet.gateway('gateway-1');
     const answer = await streamWithFault(url, 2, 50, id =>
