Tell a cut call from an engine that has ended

Cause: a move call that was cut counted as the end of its engine. When only that connection was reset, the run went on, its copy stayed at the target, and the run was not moved again.

Change: the stream of an engine that has ended ends with the call, within 50 ms; if it goes on, the copy is freed and the run is tried again. A stream that completes frees what a move has copied of it.

--- a/packages/forwarding/src/run_mover/run_mover.ts
+++ b/packages/forwarding/src/run_mover/run_mover.ts
@@ -24,6 +24,12 @@
 /** Pause before a run is moved again that found no room: room comes soon. */
 const KEPT_MILLISECONDS = 120;
 
+/**
+ * Time within which the stream of an engine ends whose calls were cut by its
+ * end; if it goes on, only the call was cut.
+ */
+const SOURCE_END_MILLISECONDS = 50;
+
 /** The generation as it is now. */
 export interface MovingStream {
   /** The engine's part that is being read; undefined between two engines. */
@@ -95,7 +101,13 @@
       moved,
       stopping.opened.then(() => parts.clock.sleep(HANDOVER_MILLISECONDS)),
     ]);
-    if (result?.kind !== 'kept') {
+    if (result?.kind === 'source_lost') {
+      await parts.clock.sleep(SOURCE_END_MILLISECONDS);
+      if (isThere()) {
+        this.abandon();
+        this.keep(source, 'the call was cut, and the run goes on');
+      }
+    } else if (result?.kind !== 'kept') {
       this.handedOver = leg;
     } else if (isThere()) {
       this.move = undefined;
@@ -117,10 +129,13 @@
   /** Frees what a move has copied of a run that nobody waits for. */
   abandon(): void {
     const {move, parts} = this;
+    if (move === undefined) {
+      return;
+    }
     this.move = undefined;
     runTask('abandon_move', parts.logger, async () => {
       const result = await move;
-      if (result?.kind === 'stopped' || result?.kind === 'source_lost') {
+      if (result.kind === 'stopped' || result.kind === 'source_lost') {
         const {target, memorySource} = result;
         dropCopy({target, handle: memorySource.handle}, parts);
       }
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -118,6 +118,7 @@
       const end = await leg.run();
       this.leg = undefined;
       if (end.kind === 'complete') {
+        this.mover.abandon();
         return this.complete(end.remainder);
       }
       if (this.exchange.signal.aborted) {
