Measure moves off engines that leave against an oracle, in virtual time

Change: a simulation of engines, links, memory and gateways that runs the gateway's own code (chooseEngine, Evacuator, EvacuationTurn, RunMover, moveRun); the evacuator takes its streams by an interface.

--- a/packages/forwarding/src/evacuator/evacuator.ts
+++ b/packages/forwarding/src/evacuator/evacuator.ts
@@ -5,7 +5,6 @@
 
 import type {EvacuationTurn} from '../evacuation_turn/evacuation_turn.js';
 import type {ForwardingParts} from '../exchange/exchange.js';
-import type {StreamSession} from '../stream_session/stream_session.js';
 
 /** How often a gateway looks whether it may copy. */
 const TURN_POLL_MILLISECONDS = 8;
@@ -13,6 +12,22 @@
 /** Time after which a run that was not moved is left where it is. */
 const EVACUATION_MILLISECONDS = 6_000;
 
+/** A stream as the evacuation of its endpoint sees it. */
+export interface EvacuatedStream {
+  /** Endpoint that produces the stream now. */
+  readonly endpointId: string | undefined;
+  /** True when the stream would be lost with its endpoint. */
+  readonly endsWithEngine: boolean;
+  /** True once there is a memory that can be copied. */
+  readonly hasBegun: boolean;
+  /** True when the run should be moved now if its endpoint leaves. */
+  readonly isMovable: boolean;
+  /** Tokens that it is expected to produce from now on. */
+  readonly expectedRemainingTokens: number;
+  /** Moves it; ends when the endpoint's link is free for another copy. */
+  readonly moveAway: (source: EndpointEntry, isAlone: boolean) => Promise<void>;
+}
+
 /** Moves streams, one after another. */
 export class Evacuator {
   /**
@@ -20,7 +35,7 @@
    * @param parts - Parts of the gateway
    */
   constructor(
-    private readonly sessions: ReadonlySet<StreamSession>,
+    private readonly sessions: ReadonlySet<EvacuatedStream>,
     private readonly parts: Pick<
       ForwardingParts,
       'clock' | 'dialect' | 'logger'
@@ -67,7 +82,7 @@
   }
 
   /** Runs at an engine that should not end with it, largest rest first. */
-  private findRuns(endpointId: string): StreamSession[] {
+  private findRuns(endpointId: string): EvacuatedStream[] {
     return [...this.sessions]
       .filter(
         session => session.endpointId === endpointId && session.endsWithEngine,
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -2,6 +2,7 @@
  * Forwarding requests by route, unchanged, to endpoints that come and go.
  */
 export * from './admit_request/admit_request.js';
+export * from './choose_placement/choose_placement.js';
 export * from './dialect/dialect.js';
 export * from './endpoint_client/endpoint_client.js';
 export * from './endpoint_loads/endpoint_loads.js';
@@ -15,4 +16,5 @@
 export * from './preparing_agent/preparing_agent.js';
 export * from './retry_budgets/retry_budgets.js';
 export * from './run_evacuation/run_evacuation.js';
+export * from './run_mover/run_mover.js';
 export * from './stream_session/stream_session.js';
--- a/packages/forwarding/src/run_mover/run_mover.ts
+++ b/packages/forwarding/src/run_mover/run_mover.ts
@@ -30,10 +30,13 @@
  */
 const SOURCE_END_MILLISECONDS = 50;
 
+/** What a move has to know of an engine's part of a stream. */
+export type MovingLeg = Pick<StreamLeg, 'endpoint' | 'checkpointHolder'>;
+
 /** The generation as it is now. */
 export interface MovingStream {
   /** The engine's part that is being read; undefined between two engines. */
-  readonly leg: () => StreamLeg | undefined;
+  readonly leg: () => MovingLeg | undefined;
   /** Events that the generation has produced. */
   readonly events: () => number;
 }
@@ -43,7 +46,7 @@
   /** When a run that found no room is tried again, by the clock. */
   private keptUntil = Number.NEGATIVE_INFINITY;
   /** The leg whose last copy runs, so that another run may use the link. */
-  private handedOver: StreamLeg | undefined;
+  private handedOver: MovingLeg | undefined;
   /** The move that is going on, or that has stopped the run. */
   private move: Promise<MoveResult> | undefined;
 
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -12,6 +12,7 @@
 } from '../choose_placement/choose_placement.js';
 import type {MemorySource} from '../dialect/dialect.js';
 import type {EndpointChoice} from '../endpoint_loads/endpoint_loads.js';
+import type {EvacuatedStream} from '../evacuator/evacuator.js';
 import {countEngineWork} from '../count_engine_work/count_engine_work.js';
 import {
   answerUnanswered,
@@ -63,7 +64,7 @@
  * allows that; otherwise the connection ends, so that the answer does not
  * look complete.
  */
-export class StreamSession {
+export class StreamSession implements EvacuatedStream {
   private leg: StreamLeg | undefined;
   /** Endpoint that the request was sent to and that has not answered yet. */
   private opening: EndpointEntry | undefined;
--- a/packages/stand_ins/src/bench/bench_main.ts
+++ b/packages/stand_ins/src/bench/bench_main.ts
@@ -8,6 +8,7 @@
   runAdmissionBenchmark,
   TUNING_SEEDS,
 } from './admission_benchmark.js';
+import {runEvacuationBenchmark} from './evacuation_benchmark.js';
 import {Judge} from './judge.js';
 import {runOrderBenchmark} from './order_benchmark.js';
 import {runRoutingBenchmark} from './routing_benchmark.js';
@@ -32,5 +33,8 @@
 if (isWanted('routing')) {
   runRoutingBenchmark(judge, seeds);
 }
+if (isWanted('evacuation')) {
+  await runEvacuationBenchmark(judge, seeds);
+}
 judge.summarise();
 process.exitCode = judge.isSatisfied ? 0 : 1;
