--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
@@ -70,7 +70,7 @@
  */
 const INTERVAL_PER_PEER_MILLISECONDS = 15;
 
-/** Entries of a report, so that it fits into one packet of an Ethernet. */
+/** Entries of a report: about one packet of an Ethernet, most of the time. */
 const MAXIMUM_ENTRIES = 48;
 
 /**
