--- a/packages/stand_ins/src/bench/evacuation_benchmark.ts
+++ b/packages/stand_ins/src/bench/evacuation_benchmark.ts
@@ -1,13 +1,13 @@
 /**
  * How many generations survive engines that leave in waves.
  */
+import type {
+  EvacuationFigures,
+  EvacuationPolicy,
+  EvacuationScene,
+} from './evacuation_scene.js';
 import {format, print, type Judge} from './judge.js';
-import {
-  simulateEvacuation,
-  type EvacuationFigures,
-  type EvacuationPolicy,
-  type EvacuationScene,
-} from './simulate_evacuation.js';
+import {simulateEvacuation} from './simulate_evacuation.js';
 
 const POLICIES: readonly EvacuationPolicy[] = [
   'stay',
--- a/packages/stand_ins/src/bench/simulate_evacuation.ts
+++ b/packages/stand_ins/src/bench/simulate_evacuation.ts
@@ -6,94 +6,58 @@
   VirtualClock,
   type EndpointEntry,
   type EngineProfile,
-  type RoutedService,
 } from '@briarpin/coordination';
 import {
-  chooseEngine,
   EndpointLoads,
   EvacuationTurn,
   Evacuator,
-  RunMover,
   type Dialect,
-  type EvacuatedStream,
-  type Exchange,
   type ForwardingParts,
   type MoveCall,
   type MoveOutcome,
-  type MovingLeg,
 } from '@briarpin/forwarding';
 
+import {
+  PLAYED_MILLISECONDS,
+  WAVE_INTERVAL_MILLISECONDS,
+  FIRST_WAVE_MILLISECONDS,
+  REPLACEMENT_MILLISECONDS,
+  MEMORY_TOKENS,
+  PROMPT_TOKENS,
+  MEDIAN_OUTPUT_TOKENS,
+  OUTPUT_SIGMA,
+  ESTIMATE_SIGMA,
+  MILLISECONDS_PER_TOKEN,
+  PREFILL_MILLISECONDS,
+  HOP_MILLISECONDS,
+  TARGET_GAP_MILLISECONDS,
+  TOKENS_PER_EVENT,
+  SLOTS,
+  SERVICE,
+  OTHER_ZONE_FACTOR,
+  ZONES_PER_REGION,
+  type EvacuationFigures,
+  type EvacuationPolicy,
+  type EvacuationScene,
+} from './evacuation_scene.js';
 import {
   createRandom,
   drawExponential,
   drawLogNormal,
   type Random,
 } from './seeded_random.js';
+import {
+  SimulatedStream,
+  type SimulatedEngine,
+  type SimulatedEngines,
+  type SimulatedGateway,
+} from './simulated_stream.js';
 
-/** What is played. */
-export interface EvacuationScene {
-  readonly engines: number;
-  readonly availabilityZones: number;
-  readonly gateways: number;
-  /** Part of the engines that leaves in each wave. */
-  readonly leavingShare: number;
-  readonly noticeMilliseconds: number;
-  /** Part of all memory that running generations take on average. */
-  readonly memoryShare: number;
-  readonly linkMegabitsPerSecond: number;
-}
-
-/** What is done when an engine leaves. */
-export type EvacuationPolicy =
-  /** The gateways move their runs in turn. */
-  | 'in_turn'
-  /** They move them without waiting for one another. */
-  | 'at_once'
-  /** Runs end with their engine. */
-  | 'stay'
-  /** Runs are placed by one who knows all leavings ahead. */
-  | 'oracle';
-
-/** What became of the generations. */
-export interface EvacuationFigures {
-  readonly generations: number;
-  /** Those that no engine had room for when they came. */
-  readonly refused: number;
-  /** Part that was finished. */
-  readonly wholeShare: number;
-  /** Part that was finished without a pause above the target. */
-  readonly smoothShare: number;
-}
-
-const PLAYED_MILLISECONDS = 30_000;
-const WAVE_INTERVAL_MILLISECONDS = 3_300;
-const FIRST_WAVE_MILLISECONDS = 5_000;
-/** Time from an engine's end until another one takes its place. */
-const REPLACEMENT_MILLISECONDS = 4_000;
-const MEMORY_TOKENS = 27_000;
-const PROMPT_TOKENS = 3_000;
-const MEDIAN_OUTPUT_TOKENS = 700;
-const OUTPUT_SIGMA = 0.35;
-const ESTIMATE_SIGMA = 0.3;
-const MILLISECONDS_PER_TOKEN = 10;
-const PREFILL_MILLISECONDS = 300;
-const HOP_MILLISECONDS = 12;
-const TARGET_GAP_MILLISECONDS = 180;
-const TOKENS_PER_EVENT = 4;
-const SLOTS = 24;
-const SERVICE = 'text';
-/** Another availability zone of the region is twice as far for a copy. */
-const OTHER_ZONE_FACTOR = 2;
-const ZONES_PER_REGION = 2;
-
-interface Engine {
+interface Engine extends SimulatedEngine {
   readonly entry: EndpointEntry;
   /** When its link is free for the next copy. */
   linkFreeAt: number;
-  usedTokens: number;
   leavesAt: number;
-  hasLeft: boolean;
-  readonly copies: Map<string, number>;
 }
 
 /** Plays one scene. */
@@ -106,7 +70,7 @@
   return simulation.run();
 }
 
-class EvacuationSimulation {
+class EvacuationSimulation implements SimulatedEngines {
   readonly clock = new VirtualClock();
   readonly profile: EngineProfile;
   /** Draws of their own, so that all policies meet the same arrivals. */
@@ -345,7 +309,7 @@
 }
 
 /** One gateway: its streams, and what it places and moves them with. */
-class Gateway {
+class Gateway implements SimulatedGateway {
   readonly streams = new Set<SimulatedStream>();
   readonly parts: ForwardingParts;
   readonly evacuator: Evacuator;
@@ -427,197 +391,3 @@
     return loads;
   },
 };
-
-interface StreamLengths {
-  readonly outputTokens: number;
-  /** What the caller's estimate is off by. */
-  readonly estimateFactor: number;
-}
-
-/** One generation, over all engines that it runs on. */
-class SimulatedStream implements EvacuatedStream {
-  end: 'whole' | 'cut' | 'refused' | undefined;
-  longestGap = 0;
-  readonly endsWithEngine = true;
-  private leg: MovingLeg | undefined;
-  private produced = 0;
-  private runningSince = 0;
-  private interrupt: (() => void) | undefined;
-  private readonly mover: RunMover;
-  private readonly exchange: Exchange;
-  private readonly expectedTokens: number;
-
-  constructor(
-    readonly id: string,
-    private readonly gateway: Gateway,
-    private readonly simulation: EvacuationSimulation,
-    private readonly lengths: StreamLengths,
-  ) {
-    this.expectedTokens = Math.round(
-      lengths.outputTokens * lengths.estimateFactor,
-    );
-    this.exchange = this.createExchange();
-    this.mover = new RunMover(this.exchange, gateway.parts, {
-      leg: () => this.leg,
-      events: () => Math.floor(this.currentTokens() / TOKENS_PER_EVENT),
-    });
-  }
-
-  get endpointId(): string | undefined {
-    return this.leg?.endpoint.id;
-  }
-
-  get hasBegun(): boolean {
-    return this.leg !== undefined && this.currentTokens() > 0;
-  }
-
-  get isMovable(): boolean {
-    return this.mover.isMovable;
-  }
-
-  get expectedRemainingTokens(): number {
-    return this.expectedTokens - this.currentTokens();
-  }
-
-  /** Memory that it takes at its end, in tokens. */
-  private get wholeTokens(): number {
-    return PROMPT_TOKENS + Math.round(this.lengths.outputTokens);
-  }
-
-  /** Memory that it takes now, in tokens. */
-  get tokens(): number {
-    return PROMPT_TOKENS + Math.floor(this.currentTokens());
-  }
-
-  moveAway(source: EndpointEntry, isAlone: boolean): Promise<void> {
-    return this.mover.moveAway(source, isAlone);
-  }
-
-  /** The engine stops it for the last copy. */
-  stopRun(): void {
-    this.interrupt?.();
-  }
-
-  noteLeft(endpointId: string): void {
-    if (this.endpointId === endpointId) {
-      this.interrupt?.();
-    }
-  }
-
-  async run(): Promise<void> {
-    const {clock} = this.simulation;
-    let endpoint = this.place();
-    if (endpoint === undefined) {
-      this.finish('refused');
-      return;
-    }
-    await clock.sleep(PREFILL_MILLISECONDS);
-    while (endpoint !== undefined) {
-      const wasMoved = await this.runAt(endpoint);
-      if (wasMoved === undefined) {
-        this.finish('whole');
-        return;
-      }
-      const engine = this.simulation.engine(endpoint.id);
-      const moved = await this.mover.takeStopped();
-      await clock.sleep(HOP_MILLISECONDS * 2);
-      endpoint =
-        moved === undefined || moved.kind === 'stopped_at_source'
-          ? engine?.hasLeft === true
-            ? undefined
-            : endpoint
-          : moved.target;
-      if (moved === undefined) {
-        endpoint = undefined;
-      }
-      this.longestGap = Math.max(this.longestGap, clock.now() - wasMoved);
-    }
-    this.finish('cut');
-  }
-
-  /**
-   * Runs at an engine until it is whole or interrupted.
-   *
-   * @returns When it was interrupted; undefined when it is whole
-   */
-  private async runAt(endpoint: EndpointEntry): Promise<number | undefined> {
-    const {clock} = this.simulation;
-    const engine = this.simulation.engine(endpoint.id);
-    if (engine === undefined || engine.hasLeft) {
-      return clock.now();
-    }
-    const work = {requests: 1, tokens: PROMPT_TOKENS + this.expectedTokens};
-    const {loads} = this.gateway.parts;
-    loads.add(endpoint.id, work);
-    const copied = engine.copies.get(this.id) ?? 0;
-    engine.copies.delete(this.id);
-    const reserved = this.wholeTokens;
-    engine.usedTokens += reserved - copied;
-    this.leg = {endpoint, checkpointHolder: undefined};
-    this.runningSince = clock.now();
-    const ended = new AbortController();
-    const interrupted = new Promise<number>(resolve => {
-      this.interrupt = () => resolve(clock.now());
-    });
-    const left = this.lengths.outputTokens - this.produced;
-    const at = await Promise.race([
-      interrupted,
-      clock.sleep(left * MILLISECONDS_PER_TOKEN, ended.signal),
-    ]);
-    this.produced = this.currentTokens();
-    this.leg = undefined;
-    ended.abort();
-    this.interrupt = undefined;
-    engine.usedTokens -= reserved;
-    loads.remove(endpoint.id, work);
-    return at ?? undefined;
-  }
-
-  private finish(end: 'whole' | 'cut' | 'refused'): void {
-    this.end = end;
-    this.mover.abandon();
-    this.gateway.streams.delete(this);
-  }
-
-  private currentTokens(): number {
-    const running =
-      this.leg === undefined
-        ? 0
-        : (this.simulation.clock.now() - this.runningSince) /
-          MILLISECONDS_PER_TOKEN;
-    return Math.min(this.lengths.outputTokens, this.produced + running);
-  }
-
-  private place(): EndpointEntry | undefined {
-    const {simulation, exchange, gateway} = this;
-    const until =
-      simulation.clock.now() +
-      PREFILL_MILLISECONDS +
-      this.lengths.outputTokens * MILLISECONDS_PER_TOKEN;
-    const ready = simulation.findRoom(this.wholeTokens);
-    const lasting =
-      simulation.policy === 'oracle'
-        ? ready.filter(({id}) => simulation.lasts(id, until))
-        : [];
-    const candidates = lasting.length > 0 ? lasting : ready;
-    return chooseEngine(exchange, gateway.parts, candidates)?.entry;
-  }
-
-  private createExchange(): Exchange {
-    const service: Partial<RoutedService> = {
-      name: SERVICE,
-      engine: this.simulation.profile,
-    };
-    return {
-      facts: {
-        requestId: this.id,
-        promptTokens: PROMPT_TOKENS,
-        maximumOutputTokens: 0,
-        estimatedOutputTokens: this.expectedTokens,
-        promptParts: [],
-      },
-      route: {targetGapMilliseconds: TARGET_GAP_MILLISECONDS},
-      service,
-    } as unknown as Exchange;
-  }
-}
