Give up a call to the store that does not get its connection

Cause: Node runs a request's timeout only once it is connected.

Ruled out: the wait between reads (each had failed once only, 15 s before), what the gateways tell one another (the configuration is not told).

Change: the timeout of a call counts from its beginning.

Conclusion: an old fault; any call over sendHttp had it.

--- a/packages/platform/src/send_http/send_http.ts
+++ b/packages/platform/src/send_http/send_http.ts
@@ -25,6 +25,7 @@
   readonly method: string;
   readonly headers?: http.OutgoingHttpHeaders;
   readonly body?: Buffer | string;
+  /** For the whole call, the connection included. */
   readonly timeoutMilliseconds: number;
   readonly agent: http.Agent;
   readonly signal?: AbortSignal;
@@ -42,8 +43,12 @@
 export function sendHttp(
   call: HttpCall,
 ): Promise<Result<HttpAnswer, HttpFailure>> {
-  return new Promise(resolve => {
+  return new Promise(settle => {
     let connected = false;
+    const resolve = (result: Result<HttpAnswer, HttpFailure>) => {
+      clearTimeout(timer);
+      settle(result);
+    };
     const fail = (error: Error) => {
       const kind = connected ? 'unknown' : 'not_sent';
       resolve(Result.err({kind, message: error.message}));
@@ -54,10 +59,12 @@
       agent: call.agent,
       signal: call.signal,
     });
-    request.setTimeout(call.timeoutMilliseconds, () => {
+    // The request's own timeout does not run while it connects, and a peer
+    // that is cut off may take many seconds to be tried again.
+    const timer = setTimeout(() => {
       connected = true;
       request.destroy(new Error('no answer in time'));
-    });
+    }, call.timeoutMilliseconds);
     request.on('socket', socket => {
       if (socket.connecting) {
         socket.once('connect', () => (connected = true));
