Log what decides each retry, and decide it in one place

Logs could not tell the hypotheses of the incident apart: whether a budget was full again after a start, divided by too few gateways, or not asked. The decision stood twice, for calls and for streams.

No decision changes.

--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -1,7 +1,7 @@
 /**
  * Forwarding calls whose answer is one body.
  */
-import {decideRetry, selectEndpoint} from '@briarpin/scheduling';
+import {selectEndpoint} from '@briarpin/scheduling';
 
 import {
   gatherBody,
@@ -20,6 +20,7 @@
   type ForwardingParts,
   type WholeAnswer,
 } from '../exchange/exchange.js';
+import {permitRetry} from '../permit_retry/permit_retry.js';
 
 /**
  * When a caller may come back whose request found no room: a few times the
@@ -47,8 +48,7 @@
   exchange: Exchange,
   parts: ForwardingParts,
 ): Promise<ExchangeEnd> {
-  const budget = parts.retryBudgets.find(exchange.service.name);
-  budget.noteFirstAttempt();
+  parts.retryBudgets.find(exchange.service.name).noteFirstAttempt();
   let sends = 0;
   let mayHaveRun = false;
   let failure: CallResult | undefined;
@@ -69,16 +69,13 @@
     failure = result;
     sends += result.kind === 'not_run' && !result.wasSent ? 0 : 1;
     mayHaveRun ||= result.kind !== 'not_run';
-    const mayRetry =
-      sends < exchange.route.maximumAttempts &&
-      decideRetry({
-        notRun: result.kind === 'not_run',
-        idempotent: exchange.route.repeatability === 'idempotent',
-        delivered: false,
-        remainingMilliseconds: remainingMilliseconds(exchange, parts.clock),
-        untriedEndpoints: findUntried(exchange, parts).length,
-      });
-    if (!mayRetry || (sends > 0 && !budget.tryTake())) {
+    const mayRetry = permitRetry(exchange, parts, {
+      notRun: result.kind === 'not_run',
+      idempotent: exchange.route.repeatability === 'idempotent',
+      sends,
+      wasSent: sends > 0,
+    });
+    if (!mayRetry) {
       break;
     }
   }
--- a/packages/forwarding/src/retry_budgets/retry_budgets.ts
+++ b/packages/forwarding/src/retry_budgets/retry_budgets.ts
@@ -17,10 +17,19 @@
   readonly slack: number;
 }
 
+/** State of a budget, as it is logged. */
+export interface RetryBudgetState {
+  /** Retries that may be taken. */
+  readonly left: string;
+  /** Gateways by which the slack is divided. */
+  readonly gateways: number | 'unknown';
+}
+
 /** Budgets by service. */
 export class RetryBudgets {
   private readonly budgets = new Map<string, RetryBudget>();
   private burst: number;
+  private gateways: number | undefined;
 
   /**
    * @param limit - What all gateways share
@@ -31,6 +40,7 @@
 
   /** Divides the slack by the gateways that are known. */
   setGateways(count: number): void {
+    this.gateways = count;
     this.burst = this.shareOf(Math.max(1, count));
     this.budgets.forEach(budget => budget.setBurst(this.burst));
   }
@@ -47,6 +57,12 @@
     return budget;
   }
 
+  /** What decides the next retry to a service, for the log. */
+  describe(service: string): RetryBudgetState {
+    const left = this.find(service).left.toFixed(2);
+    return {left, gateways: this.gateways ?? 'unknown'};
+  }
+
   private shareOf(gateways: number): number {
     return Math.max(1, (this.limit.slack * USED_SHARE) / gateways);
   }
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -2,7 +2,6 @@
  * One stream to a caller, over all endpoints that produce a part of it.
  */
 import type {EndpointEntry} from '@briarpin/coordination';
-import {decideRetry} from '@briarpin/scheduling';
 
 import {
   chooseCheckpointHolder,
@@ -31,6 +30,7 @@
   type OpenFailure,
   type Unanswered,
 } from '../open_result/open_result.js';
+import {permitRetry} from '../permit_retry/permit_retry.js';
 import type {StoppedRun} from '../run_evacuation/run_evacuation.js';
 import {RunMover} from '../run_mover/run_mover.js';
 import {StreamLeg, type LegEnd} from '../stream_leg/stream_leg.js';
@@ -207,19 +207,13 @@
   }
 
   private mayRetry(opened: Opened): boolean {
-    const {exchange, parts} = this;
-    const wasSent = opened.kind !== 'failed' || opened.wasSent;
-    const allowed =
-      this.sends < exchange.route.maximumAttempts &&
-      decideRetry({
-        notRun: opened.kind === 'failed' && !opened.mayHaveRun,
-        idempotent: exchange.route.isResumable,
-        delivered: false,
-        remainingMilliseconds: remainingMilliseconds(exchange, parts.clock),
-        untriedEndpoints: findUntried(exchange, parts).length,
-      });
-    const budget = parts.retryBudgets.find(exchange.service.name);
-    return allowed && (!wasSent || budget.tryTake());
+    const {exchange, parts, sends} = this;
+    return permitRetry(exchange, parts, {
+      notRun: opened.kind === 'failed' && !opened.mayHaveRun,
+      idempotent: exchange.route.isResumable,
+      sends,
+      wasSent: opened.kind !== 'failed' || opened.wasSent,
+    });
   }
 
   /** Goes on after a leg that broke. */
--- a/packages/scheduling/src/retry_budget/retry_budget.ts
+++ b/packages/scheduling/src/retry_budget/retry_budget.ts
@@ -23,6 +23,11 @@
     this.available = burst;
   }
 
+  /** Retries that may be taken now; not whole. */
+  get left(): number {
+    return this.available;
+  }
+
   /** Sets the retries for each first attempt. */
   setRatio(ratio: number): void {
     this.ratio = ratio;
