Keep retries within the limit when gateways start again and again

What callers saw: nothing by themselves; servers that failed got more retries than all gateways together may make (rule BUDGET), which keeps them down.

Cause: the slack was shared out by what each process believed. A process began with a full bucket, whatever the one before it had spent, so each restart within a window renewed its share; and until it had read who the other gateways are it took the share of a fleet of one. The class: a limit on the whole fleet that is kept in the memory of one process and presumed unspent at its start.

The new tests with real processes, on the code before: 176 retries for 158 requests, allowed 81.6, when gateways are killed again and again; 108 for 162, allowed 82.4, when the topic of the gateways cannot be read.

Change: a gateway may retry the ratio of the requests that it has read in the last window; nothing is held at the start and nothing older counts, so the sum over any processes is within the ratio. One retry a window beside it, only after a whole window and where twice the gateways fit into the slack.

Five tests sent their first request to a server that fails and expected a retry of a process that had just started: the fault itself. They now send requests that succeed first; what they assert is unchanged.

After: both tests pass.

--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -318,6 +318,8 @@
     retryBudgets: new RetryBudgets({
       ratio: settings.bounds.retryRatio,
       slack: settings.bounds.retrySlack,
+      windowMilliseconds: settings.bounds.retryWindowMilliseconds,
+      now: () => clock.now(),
     }),
     regionOf: zone => settings.regionsByAvailabilityZone.get(zone),
     clock,
--- a/packages/forwarding/src/permit_retry/permit_retry.ts
+++ b/packages/forwarding/src/permit_retry/permit_retry.ts
@@ -51,12 +51,13 @@
     return isAllowed;
   }
   const service = exchange.service.name;
-  const isTaken = parts.retryBudgets.find(service).tryTake();
+  const budget = parts.retryBudgets.find(service);
+  const isTaken = budget.tryTake();
   parts.logger.info(isTaken ? 'retry_allowed' : 'retry_denied', {
     request: exchange.facts.requestId,
     service,
     sends,
-    ...parts.retryBudgets.describe(service),
+    left: budget.left.toFixed(1),
   });
   return isTaken;
 }
--- a/packages/forwarding/src/retry_budgets/retry_budgets.ts
+++ b/packages/forwarding/src/retry_budgets/retry_budgets.ts
@@ -1,69 +1,78 @@
 /**
- * The part of one gateway in the second sends that all gateways may make.
+ * The part of one gateway in the retries that all gateways may make.
  */
-import {RetryBudget} from '@briarpin/scheduling';
+import {WindowedRetryBudget} from '@briarpin/scheduling';
 
 /**
- * Part of what is allowed that is used: gateways see each other late, and the
- * requests for a service are spread unevenly over them.
+ * Retries beside the ratio that each gateway may make in a window, so that a
+ * failure is made up for where requests are few.
  */
-const USED_SHARE = 0.6;
+const RESERVED_RETRIES = 1;
 
-/** Second sends that all gateways together may make to one service. */
+/**
+ * Part of the slack that all reserves together may take. The rest covers
+ * gateways that are not known yet, and retries that arrive late.
+ */
+const RESERVED_SHARE = 0.5;
+
+/** Retries that all gateways together may make to one service. */
 export interface SharedRetryLimit {
   /** For each request. */
   readonly ratio: number;
-  /** Beside the ratio, within the window in which they are counted. */
+  /** Beside the ratio. */
   readonly slack: number;
+  /** Length of the window in which they are counted. */
+  readonly windowMilliseconds: number;
+  /** Milliseconds of a clock that never goes back. */
+  readonly now: () => number;
 }
 
-/** State of a budget, as it is logged. */
-export interface RetryBudgetState {
-  /** Retries that may be taken. */
-  readonly left: string;
-  /** Gateways by which the slack is divided. */
-  readonly gateways: number | 'unknown';
-}
-
-/** Budgets by service. */
+/**
+ * Budgets by service.
+ *
+ * Each gateway keeps to the ratio for the requests that it has read itself. A
+ * process that has not lived through a window has no reserve: it does not know
+ * what the one before it has spent.
+ */
 export class RetryBudgets {
-  private readonly budgets = new Map<string, RetryBudget>();
-  private burst: number;
-  private gateways: number | undefined;
+  private readonly budgets = new Map<string, WindowedRetryBudget>();
+  private readonly startedAt: number;
+  private gateways = Number.POSITIVE_INFINITY;
 
   /**
    * @param limit - What all gateways share
    */
   constructor(private readonly limit: SharedRetryLimit) {
-    this.burst = this.shareOf(1);
+    this.startedAt = limit.now();
   }
 
-  /** Divides the slack by the gateways that are known. */
+  /** Sets how many gateways share the limit. */
   setGateways(count: number): void {
     this.gateways = count;
-    this.burst = this.shareOf(Math.max(1, count));
-    this.budgets.forEach(budget => budget.setBurst(this.burst));
   }
 
   /** Finds the budget of a service. */
-  find(service: string): RetryBudget {
+  find(service: string): WindowedRetryBudget {
     const known = this.budgets.get(service);
     if (known !== undefined) {
       return known;
     }
-    const ratio = this.limit.ratio * USED_SHARE;
-    const budget = new RetryBudget(ratio, this.burst);
+    const {ratio, windowMilliseconds, now} = this.limit;
+    const budget = new WindowedRetryBudget({
+      ratio,
+      windowMilliseconds,
+      reserve: () => this.reserve,
+      now,
+    });
     this.budgets.set(service, budget);
     return budget;
   }
 
-  /** What decides the next retry to a service, for the log. */
-  describe(service: string): RetryBudgetState {
-    const left = this.find(service).left.toFixed(2);
-    return {left, gateways: this.gateways ?? 'unknown'};
-  }
-
-  private shareOf(gateways: number): number {
-    return Math.max(1, (this.limit.slack * USED_SHARE) / gateways);
+  /** Retries that a service may get in a window beside the ratio. */
+  get reserve(): number {
+    const {slack, windowMilliseconds, now} = this.limit;
+    const isKnown = now() - this.startedAt >= windowMilliseconds;
+    const needed = this.gateways * RESERVED_RETRIES;
+    return isKnown && needed <= slack * RESERVED_SHARE ? RESERVED_RETRIES : 0;
   }
 }
--- a/packages/scheduling/src/retry_budget/retry_budget.ts
+++ b/packages/scheduling/src/retry_budget/retry_budget.ts
@@ -18,27 +18,16 @@
    */
   constructor(
     private ratio: number,
-    private burst = RETRY_BURST,
+    private readonly burst = RETRY_BURST,
   ) {
     this.available = burst;
   }
 
-  /** Retries that may be taken now; not whole. */
-  get left(): number {
-    return this.available;
-  }
-
   /** Sets the retries for each first attempt. */
   setRatio(ratio: number): void {
     this.ratio = ratio;
   }
 
-  /** Sets the retries that are held; those above are lost. */
-  setBurst(burst: number): void {
-    this.burst = burst;
-    this.available = Math.min(this.available, burst);
-  }
-
   /** Notes a first attempt. */
   noteFirstAttempt(): void {
     this.available = Math.min(this.burst, this.available + this.ratio);
