--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -2,9 +2,6 @@
  * Builds a gateway on a machine whose platform writes the settings; the one
  * module that constructs its parts.
  */
-import type http from 'node:http';
-import type {AddressInfo} from 'node:net';
-
 import {
   ContactGuard,
   EndpointRegistry,
@@ -35,11 +32,11 @@
 import {computeHop} from './compute_hop.js';
 import {createTelemetry, type Telemetry} from './create_telemetry.js';
 import {readNews, takeNews} from './exchange_news.js';
+import {finishWork} from './finish_work.js';
 import {encodeGateway, followStore, GATEWAYS_TOPIC} from './follow_store.js';
 import type {MachineState} from './machine_state.js';
 import {RecentlySeen} from './recently_seen.js';
-import {serveMetrics} from './serve_metrics.js';
-import {serveReadiness} from './serve_readiness.js';
+import {startServers, type ServerPorts} from './start_servers.js';
 
 /**
  * Part of the revocation bound after which keys are refused; the rest covers
@@ -50,15 +47,6 @@
 /** Part of the configuration bound after which nothing is denied. */
 const DENIAL_AGE_SHARE = 0.8;
 
-/** Age of the configuration at which other gateways should be preferred. */
-const READY_AGE_SHARE = 0.6;
-
-/** Time in which the platform takes a machine out that says it is not ready. */
-const LEAVING_NOTICE_MILLISECONDS = 3_000;
-
-/** Time left before SIGKILL when open requests are given up. */
-const STOP_RESERVE_MILLISECONDS = 250;
-
 /**
  * Age of what a gateway has read at which it does not count as one that
  * reaches the store: above the longest time for which the store holds a read of
@@ -86,10 +74,8 @@
 }
 
 /** Ports of a gateway. */
-export interface MachinePorts {
+export interface MachinePorts extends ServerPorts {
   readonly callers: number;
-  readonly readiness: number;
-  readonly metrics: number;
 }
 
 /**
@@ -181,44 +167,6 @@
   };
 }
 
-async function startServers(
-  settings: InstanceSettings,
-  state: MachineState,
-  {metrics}: Telemetry,
-): Promise<{
-  ports: Pick<MachinePorts, 'readiness' | 'metrics'>;
-  close: () => void;
-}> {
-  const {known, guard} = state;
-  const isReady = () =>
-    !state.isLeaving &&
-    known.hasEndpoints &&
-    known.configuration !== undefined &&
-    guard.ageMilliseconds() <
-      settings.bounds.revocationMilliseconds * READY_AGE_SHARE;
-  const readiness = await serveReadiness(settings.readiness, isReady);
-  const metricsPort =
-    settings.internalPort === undefined ? 0 : settings.internalPort + 1;
-  const metricsServer = await serveMetrics(
-    {host: settings.ip, port: metricsPort},
-    metrics,
-  );
-  const servers = [readiness, metricsServer];
-  return {
-    ports: {readiness: portOf(readiness), metrics: portOf(metricsServer)},
-    close: () => {
-      servers.forEach(server => {
-        server.close();
-        server.closeAllConnections();
-      });
-    },
-  };
-}
-
-function portOf(server: http.Server): number {
-  return (server.address() as AddressInfo).port;
-}
-
 interface FollowingParts {
   readonly state: MachineState;
   readonly gateway: ForwardingGateway;
@@ -275,18 +223,6 @@
   );
 }
 
-/** Serves callers until they are elsewhere and nothing is open. */
-async function finishWork(
-  {bounds}: InstanceSettings,
-  {clock}: ForwardingParts,
-  gateway: ForwardingGateway,
-): Promise<void> {
-  const grace = bounds.stopGraceMilliseconds - STOP_RESERVE_MILLISECONDS;
-  await clock.sleep(LEAVING_NOTICE_MILLISECONDS);
-  gateway.stopListening();
-  await gateway.finish(grace - LEAVING_NOTICE_MILLISECONDS);
-}
-
 /** What the parts tell those that are built after them. */
 interface PartListeners {
   readonly onLeaving: (entry: EndpointEntry, reason: LeavingReason) => void;
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -28,6 +28,7 @@
   type OwnAnswer,
 } from '../own_answers/own_answers.js';
 import {readBody} from '../read_body/read_body.js';
+import {recordExchange} from '../record_exchange/record_exchange.js';
 import {StreamSession} from '../stream_session/stream_session.js';
 
 /** Largest head of a request; operators bound it further. */
@@ -182,7 +183,7 @@
       admission,
     );
     const end = await this.forward(exchange);
-    this.record(exchange, end);
+    recordExchange(exchange, end, this.parts, this.options.knowledge());
   }
 
   private admit(request: http.IncomingMessage, facts: RequestFacts): Admission {
@@ -281,46 +282,4 @@
       closeConnection: answer.kind === 'not_run' || parts.isLeaving(),
     });
   }
-
-  private record(exchange: Exchange, end: ExchangeEnd): void {
-    const {logger, histograms, clock} = this.parts;
-    const {facts, route, organisation, tried} = exchange;
-    const milliseconds = Math.round(clock.now() - exchange.arrivedAt);
-    const {firstMilliseconds} = end;
-    this.parts.metrics.countRequest(end.outcome, end.status);
-    const {configuration, ageMilliseconds} = this.options.knowledge();
-    // A request that did not end well is kept whatever the log's budget.
-    const isFailure = end.outcome !== 'done';
-    logger[isFailure ? 'warn' : 'info']('request', {
-      request: facts.requestId,
-      organisation: organisation?.name,
-      route: route.name,
-      configuration: configuration?.version,
-      age: Math.round(ageMilliseconds),
-      outcome: end.outcome,
-      status: end.status,
-      reason: end.reason,
-      endpoints: tried.join(','),
-      first:
-        firstMilliseconds === undefined
-          ? undefined
-          : Math.round(firstMilliseconds),
-      milliseconds,
-    });
-    const name = organisation?.name ?? 'public';
-    if (firstMilliseconds !== undefined) {
-      histograms.record(
-        'first_token_milliseconds',
-        name,
-        route.name,
-        firstMilliseconds,
-      );
-    }
-    histograms.record(
-      'end_to_end_milliseconds',
-      name,
-      route.name,
-      milliseconds,
-    );
-  }
 }
