--- a/packages/scheduling/src/windowed_retry_budget/windowed_retry_budget.ts
+++ b/packages/scheduling/src/windowed_retry_budget/windowed_retry_budget.ts
@@ -23,27 +23,28 @@
  * attempts.
  */
 export class WindowedRetryBudget {
-  private readonly firstAttempts = new SlidingCount();
-  private readonly retries = new SlidingCount();
+  private readonly firstAttempts: SlidingCount;
+  private readonly retries: SlidingCount;
 
   /**
    * @param options - The share and the window
    */
-  constructor(private readonly options: WindowedRetryBudgetOptions) {}
+  constructor(private readonly options: WindowedRetryBudgetOptions) {
+    this.firstAttempts = new SlidingCount(options.windowMilliseconds);
+    this.retries = new SlidingCount(options.windowMilliseconds);
+  }
 
   /** Retries that may be taken now; not whole, and never below 0. */
   get left(): number {
-    const {ratio, windowMilliseconds, reserve, now} = this.options;
-    const since = now() - windowMilliseconds;
-    const allowed = ratio * this.firstAttempts.countSince(since) + reserve();
-    return Math.max(0, allowed - this.retries.countSince(since));
+    const {ratio, reserve} = this.options;
+    const now = this.options.now();
+    const allowed = ratio * this.firstAttempts.count(now) + reserve();
+    return Math.max(0, allowed - this.retries.count(now));
   }
 
   /** Notes a first attempt. */
   noteFirstAttempt(): void {
-    const now = this.options.now();
-    this.firstAttempts.add(now);
-    this.firstAttempts.countSince(now - this.options.windowMilliseconds);
+    this.firstAttempts.add(this.options.now());
   }
 
   /** Takes one retry; false when the budget is spent. */
@@ -56,18 +57,27 @@
   }
 }
 
-/** Counts what happened since a time that only grows. */
+/** Counts what has happened in a window that ends now. */
 class SlidingCount {
   private times: number[] = [];
   /** Index of the oldest time that counts. */
   private first = 0;
 
+  constructor(private readonly windowMilliseconds: number) {}
+
   add(now: number): void {
+    this.forget(now);
     this.times.push(now);
   }
 
-  /** Forgets what is older, and counts the rest. */
-  countSince(since: number): number {
+  count(now: number): number {
+    this.forget(now);
+    return this.times.length - this.first;
+  }
+
+  /** Drops what is older than the window. */
+  private forget(now: number): void {
+    const since = now - this.windowMilliseconds;
     while ((this.times[this.first] ?? Number.POSITIVE_INFINITY) <= since) {
       this.first += 1;
     }
@@ -75,6 +85,5 @@
       this.times = this.times.slice(this.first);
       this.first = 0;
     }
-    return this.times.length - this.first;
   }
 }
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -148,6 +148,30 @@
     to: "return 'run_alone';",
     test: 'invariants/crashing_request',
   },
+  {
+    promise: 'retries of all gateways together',
+    mechanism: 'a process that starts holds no retries',
+    file: 'packages/forwarding/dist/retry_budgets/retry_budgets.js',
+    from: 'isKnown && needed <= slack * RESERVED_SHARE ? RESERVED_RETRIES : 0',
+    to: 'slack / 3',
+    test: 'soak/retry_limit',
+  },
+  {
+    promise: 'retries of all gateways together',
+    mechanism: 'a reserve only after a whole window',
+    file: 'packages/forwarding/dist/retry_budgets/retry_budgets.js',
+    from: 'isKnown && needed',
+    to: 'needed',
+    test: 'forwarding/dist/retry_budgets',
+  },
+  {
+    promise: 'retries of all gateways together',
+    mechanism: 'retries are counted in their window',
+    file: 'packages/scheduling/dist/windowed_retry_budget/windowed_retry_budget.js',
+    from: 'allowed - this.retries.count(now)',
+    to: 'allowed',
+    test: 'soak/retry_limit',
+  },
 ];
 
 let green = 0;
