Log a fingerprint of each failed request

Cause for it: each attempt of a caller has an identity of its own, so the log could not tell whether the request that fails now is the one that failed before, which is what separates the hypotheses in docs/incidents/crashing-request.md. The lines attempt_failed and stream_broke now bear a fingerprint of organisation, path with query, and body; method, host and type of the route are left out, as operators can change what a path may do. Ruled out: a fingerprint on every request line; it is computed only for failures. No decision changes. computeFingerprint moved from the daemon to coordination, so that there is one copy.

--- a/packages/daemon/src/shared/fingerprint.ts
+++ b/packages/coordination/src/compute_fingerprint/compute_fingerprint.ts
@@ -1,7 +1,7 @@
 /**
- * Fingerprints of requests and comparison of digests.
+ * Fingerprints of requests.
  */
-import {createHash, timingSafeEqual} from 'node:crypto';
+import {createHash} from 'node:crypto';
 
 /**
  * Computes the fingerprint of a request.
@@ -9,6 +9,9 @@
  * @param organisation - Organisation that sent the request
  * @param fields - Values that identify the request, in a fixed order
  * @returns SHA-256 digest in hexadecimal
+ *
+ * @example
+ * computeFingerprint('quilters', '/hold/1', body); //=> 'b5bb9d80…'
  */
 export function computeFingerprint(
   organisation: string,
@@ -20,10 +23,3 @@
   }
   return hash.digest('hex');
 }
-
-/**
- * Compares two digests; in constant time when their lengths are equal.
- */
-export function isSameDigest(left: Buffer, right: Buffer): boolean {
-  return left.length === right.length && timingSafeEqual(left, right);
-}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -5,6 +5,7 @@
 export * from './claim_log/claim_log.js';
 export * from './claim_table/claim_table.js';
 export * from './clock/clock.js';
+export * from './compute_fingerprint/compute_fingerprint.js';
 export * from './configuration_replica/configuration_replica.js';
 export * from './configuration_table/configuration_table.js';
 export * from './endpoint_registry/endpoint_registry.js';
--- a/packages/daemon/src/gateway/access_directory.ts
+++ b/packages/daemon/src/gateway/access_directory.ts
@@ -8,7 +8,7 @@
 } from '@briarpin/messages';
 import {createHash} from 'node:crypto';
 
-import {isSameDigest} from '../shared/fingerprint.js';
+import {isSameDigest} from '../shared/is_same_digest.js';
 
 const ORGANISATIONS_PREFIX = 'organisations.';
 const SERVICES_PREFIX = 'services.';
--- a/packages/daemon/src/gateway/handle_completion.ts
+++ b/packages/daemon/src/gateway/handle_completion.ts
@@ -3,6 +3,7 @@
  */
 import type http from 'node:http';
 
+import {computeFingerprint} from '@briarpin/coordination';
 import {
   describeViolations,
   FailureKind,
@@ -15,7 +16,6 @@
 import {runTask} from '@briarpin/telemetry';
 import {parseJson} from '@briarpin/platform';
 import {createFailure} from '../shared/failures.js';
-import {computeFingerprint} from '../shared/fingerprint.js';
 import {
   createHeaderError,
   readCallerRequest,
--- a/packages/daemon/src/gateway/handle_service_call.ts
+++ b/packages/daemon/src/gateway/handle_service_call.ts
@@ -4,6 +4,7 @@
 import {randomUUID} from 'node:crypto';
 import type http from 'node:http';
 
+import {computeFingerprint} from '@briarpin/coordination';
 import {
   FailureKind,
   Outcome,
@@ -17,7 +18,6 @@
 
 import {selectForwardedHeaders} from '../plain_service/call_plain_service.js';
 import {createFailure} from '../shared/failures.js';
-import {computeFingerprint} from '../shared/fingerprint.js';
 import {toMessageClass} from '../shared/request_class.js';
 import {
   createHeaderError,
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -56,6 +56,8 @@
   readonly service: RoutedService;
   readonly organisation?: RoutedOrganisation;
   readonly body: Buffer;
+  /** Returns the fingerprint, which is the same when the request comes again. */
+  readonly fingerprint: () => string;
   /** Arrival time in milliseconds of the gateway's clock. */
   readonly arrivedAt: number;
   /** The earlier of the caller's deadline and the route's timeout. */
@@ -191,6 +193,7 @@
 ): void {
   logger.warn('attempt_failed', {
     request: exchange.metadata.requestId,
+    fingerprint: exchange.fingerprint(),
     route: exchange.route.name,
     endpoint,
     reason,
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -14,6 +14,7 @@
   type AdmissionBounds,
   type ConfigurationSnapshot,
 } from '../admit_request/admit_request.js';
+import {computeRequestFingerprint} from '../compute_request_fingerprint/compute_request_fingerprint.js';
 import {Evacuator} from '../evacuator/evacuator.js';
 import type {RequestMetadata} from '../dialect/dialect.js';
 import type {
@@ -255,8 +256,16 @@
       controller.abort();
     });
     const {signal} = controller;
+    const fingerprint = once(() =>
+      computeRequestFingerprint({
+        organisation: organisation?.name,
+        path: received.request.url ?? '',
+        body: received.body,
+      }),
+    );
     return {
       ...received,
+      fingerprint,
       route,
       service,
       organisation,
@@ -301,3 +310,9 @@
     });
   }
 }
+
+/** Returns a function that computes a value on its first call and keeps it. */
+function once<T>(compute: () => T): () => T {
+  let value: {readonly computed: T} | undefined;
+  return () => (value ??= {computed: compute()}).computed;
+}
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -234,6 +234,7 @@
     };
     this.context.logger.info('stream_broke', {
       request: this.exchange.metadata.requestId,
+      fingerprint: this.exchange.fingerprint(),
       endpoint: stream.endpoint.id,
       reason,
       events: this.writer.sentEvents,
