Read a keyed topic again after the store returned from an old copy

What callers saw: after the store came back from a copy some seconds old, a gateway could miss a configuration for good, since the offsets that it had read past were given out again; and a running server that registered after the copy got no more work until it wrote again.

Cause: a position in a topic was taken for good. Nothing told positions of the store before the loss from those after it; only a position beyond the new end was noticed (410). Class: a position kept across a loss of what it counts.

New line store_restored.

--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -100,11 +100,20 @@
     const expiryMilliseconds =
       this.options.heartbeatMilliseconds * HEARTBEATS_UNTIL_EXPIRY;
     if (silenceMilliseconds >= expiryMilliseconds) {
-      this.graceUntil = now + EXPIRED_ENTRY_GRACE_MILLISECONDS;
+      this.startGracePeriod();
     }
     this.lastResponseAt = now;
   }
 
+  /**
+   * Starts the period in which running endpoints rewrite entries that the store
+   * has lost; must be called before applying what it returns then.
+   */
+  startGracePeriod(): void {
+    const {now} = this.options;
+    this.graceUntil = now() + EXPIRED_ENTRY_GRACE_MILLISECONDS;
+  }
+
   /** Replaces all entries by a snapshot; removes endpoints missing from it. */
   replaceAll(entries: readonly EndpointEntry[]): void {
     const ids = new Set(entries.map(entry => entry.id));
--- a/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
+++ b/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
@@ -20,6 +20,12 @@
   readonly records: readonly KeyedRecord[];
   /** Offset to read next. */
   readonly next: number;
+  /**
+   * Rises each time the store has returned from an older copy of its contents.
+   * Offsets of different eras cannot be compared. Absent if the store states
+   * none.
+   */
+  readonly era?: number;
 }
 
 /** Store of compacted topics, which keep the newest record of each key. */
@@ -76,6 +82,11 @@
    * record, in milliseconds.
    */
   readonly onReadStart: () => (waitedMilliseconds: number) => void;
+  /**
+   * Called before the first snapshot after the store has returned from an older
+   * copy, which may lack records that were already read.
+   */
+  readonly onStoreRestored?: () => void;
   /** Called for each failed read, except when records have been trimmed. */
   readonly onFailure: (error: LogError) => void;
 }
@@ -96,6 +107,7 @@
 ): Promise<void> {
   const {store, clock, signal} = options;
   let position: number | undefined;
+  let era: number | undefined;
   let failures = 0;
   while (!signal.aborted) {
     const confirm = options.onReadStart();
@@ -128,6 +140,15 @@
       continue;
     }
     failures = 0;
+    const hasNewEra = response.value.era !== era;
+    if (hasNewEra && !isSnapshot) {
+      position = undefined;
+      continue;
+    }
+    if (hasNewEra && era !== undefined) {
+      options.onStoreRestored?.();
+    }
+    era = response.value.era;
     position = response.value.next;
     if (isSnapshot) {
       options.onSnapshot(response.value.records);
--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -95,6 +95,7 @@
   | 'onSnapshot'
   | 'onRecords'
   | 'onReadStart'
+  | 'onStoreRestored'
   | 'waitForBatch'
   | 'longPollMilliseconds'
 >;
@@ -119,6 +120,10 @@
         signal,
         ...topicOptions,
         onReadStart,
+        onStoreRestored: () => {
+          logger.warn('store_restored', {topic});
+          topicOptions.onStoreRestored?.();
+        },
         onFailure: error => outageLogger.recordFailure(error.message),
       }),
     );
@@ -232,6 +237,7 @@
       endpoints.evictExpired();
       options.onEndpointsRead();
     },
+    onStoreRestored: () => endpoints.startGracePeriod(),
     onReadStart: () => () => undefined,
   };
 }
