--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -16,6 +16,7 @@
 import {
   CrashQuarantine,
   EndpointClient,
+  EndpointLimits,
   EndpointLoads,
   ForwardingGateway,
   EvacuationTurn,
@@ -141,6 +142,7 @@
     onLeaving: (entry, reason) => {
       logger.info('endpoint_leaving', {endpoint: entry.id, reason});
       components.loads.removeAverages(entry.id);
+      components.limits.remove(entry.id);
       recordEnd(components.quarantine, entry, reason);
       state.departures.add(entry);
       runTask('evacuation', logger, () => evacuate(entry, gateway, mesh));
@@ -287,9 +289,11 @@
     onLeaving,
     onReady,
   });
+  const limits = new EndpointLimits({logger});
   return {
     dialect,
-    client: new EndpointClient(dialect),
+    client: new EndpointClient(dialect, limits),
+    limits,
     endpoints,
     quarantine: new CrashQuarantine({
       table: state.suspicionTable,
--- a/packages/forwarding/src/dialect/dialect.ts
+++ b/packages/forwarding/src/dialect/dialect.ts
@@ -68,6 +68,11 @@
   /** True when the endpoint states that it did not run the request. */
   readonly isNotRun: boolean;
   readonly load?: ReportedLoad;
+  /**
+   * Requests per second that the endpoint accepts from all gateways together;
+   * absent if it states no limit.
+   */
+  readonly requestsPerSecond?: number;
 }
 
 /** State that an engine reports on request. */
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -6,6 +6,7 @@
 
 import type {EndpointEntry} from '@briarpin/coordination';
 
+import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {ResponseMetadata, Dialect} from '../dialect/dialect.js';
 import {
   PreconnectingAgent,
@@ -107,8 +108,12 @@
 
   /**
    * @param dialect - Parses the headers of responses
+   * @param limits - Receives the limit that each response states
    */
-  constructor(private readonly dialect: Dialect) {}
+  constructor(
+    private readonly dialect: Dialect,
+    private readonly limits: EndpointLimits,
+  ) {}
 
   /**
    * Sends an attempt and waits for the head of its response.
@@ -186,6 +191,7 @@
   ): AttemptResult {
     const metadata = this.dialect.readResponse(response);
     const status = response.statusCode ?? 0;
+    this.limits.recordResponse(attempt.endpoint.id, metadata.requestsPerSecond);
     response.on('error', () => undefined);
     const matchesRequest =
       metadata.requestId === undefined
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -20,6 +20,7 @@
 import type {Dialect, RequestMetadata} from '../dialect/dialect.js';
 import type {CrashQuarantine} from '../crash_quarantine/crash_quarantine.js';
 import type {EndpointClient} from '../endpoint_client/endpoint_client.js';
+import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
 import type {RetryBudgets} from '../retry_budgets/retry_budgets.js';
 import {
@@ -33,6 +34,8 @@
   readonly client: EndpointClient;
   readonly endpoints: EndpointRegistry;
   readonly loads: EndpointLoads;
+  /** Rate limits that endpoints state. */
+  readonly limits: EndpointLimits;
   /** Retry budgets by service. */
   readonly retryBudgets: RetryBudgets;
   readonly quarantine: CrashQuarantine;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -7,6 +7,7 @@
 export * from './dialect/dialect.js';
 export * from './endpoint_client/endpoint_client.js';
 export * from './endpoint_loads/endpoint_loads.js';
+export * from './endpoint_limits/endpoint_limits.js';
 export * from './error_response/error_response.js';
 export * from './evacuation_turn/evacuation_turn.js';
 export * from './evacuator/evacuator.js';
