Keep the limits that servers state, at all gateways together

What callers and servers saw: a server that named a limit of 2 a second in its answers got as many requests after as before, 23 to 36 in 4 s where 17 or 18 are allowed.

Cause: the header was forwarded to callers and otherwise ignored. Class: feedback of an endpoint that no decision reads.

Ruled out: retries (the test's server answers 200 to each); dividing the limit by the gateways or giving an endpoint to one of them, which reject what the server would take.

Change: SharedRateLimit, a token bucket that each gateway charges for its own requests at once and for those of the others as they report them; its needed level is drawn at random so that 29 gateways do not admit one request each in the same moment. EndpointLimits keeps the newest statement made to any gateway. An endpoint at its limit is no candidate for calls, generations and moved runs; where none is left the rejection says when one accepts again.

Why it works: what gateways admit before they hear of each other is at most a few requests, and becomes a debt of the bucket.

--- a/packages/daemon/src/machine/exchange_reports.ts
+++ b/packages/daemon/src/machine/exchange_reports.ts
@@ -33,11 +33,13 @@
  * Creates the report of this gateway.
  *
  * @param gateway - Provides the unfinished work
+ * @param components - Provides the limits of endpoints
  * @param state - State of the process
  * @param now - Monotonic time, in milliseconds
  */
 export function createReport(
   gateway: ForwardingGateway,
+  {limits}: Pick<ForwardingContext, 'limits'>,
   state: MachineState,
   now: number,
 ): LocalReport {
@@ -46,6 +48,7 @@
     leaving: state.departures.list().map(toLeavingEndpoint),
     arrived: state.arrivals.list().map(toArrivedEndpoint),
     suspicions: selectReportedSuspicions(state.recentSuspicions.list(), now),
+    limits: limits.createReport(),
     endpointsAgeMilliseconds: toReportedAge(now - state.endpointsReadAt),
     storeAgeMilliseconds: toReportedAge(
       state.stalenessTracker.ageMilliseconds(),
@@ -57,13 +60,17 @@
  * Applies a report of another gateway and evicts gateways that have timed out.
  *
  * @param report - The received report
- * @param components - Endpoint loads and registry to update
+ * @param components - Endpoint loads, registry and limits to update
  * @param mesh - Evicts the gateways without a recent report
  * @param state - Suspicions to update; all are reported to a new process
  */
 export function applyReport(
   report: ReceivedReport,
-  {loads, endpoints}: Pick<ForwardingContext, 'loads' | 'endpoints'>,
+  {
+    loads,
+    endpoints,
+    limits,
+  }: Pick<ForwardingContext, 'loads' | 'endpoints' | 'limits'>,
   mesh: Pick<GatewayMesh, 'evictSilentGateways'>,
   {
     suspicionTable,
@@ -71,6 +78,7 @@
   }: Pick<MachineState, 'suspicionTable' | 'recentSuspicions'>,
 ): void {
   loads.setGatewayWork(report.gateway, report.work);
+  limits.applyReport(report.gateway, report.limits);
   if (report.isFirst) {
     suspicionTable.list().forEach(record => recentSuspicions.add(record));
   }
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -289,7 +289,12 @@
     onLeaving,
     onReady,
   });
-  const limits = new EndpointLimits({logger});
+  const limits = new EndpointLimits({
+    now: () => clock.now(),
+    random: Math.random,
+    logger,
+    onLimitedRequest: onWorkStarted,
+  });
   return {
     dialect,
     client: new EndpointClient(dialect, limits),
@@ -358,7 +363,7 @@
     clock,
     logger,
     startedAt: Date.now(),
-    createReport: () => createReport(gateway, state, clock.now()),
+    createReport: () => createReport(gateway, components, state, clock.now()),
     onReport: report => applyReport(report, components, mesh, state),
   });
   return mesh;
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -108,7 +108,8 @@
 
   /**
    * @param dialect - Parses the headers of responses
-   * @param limits - Receives the limit that each response states
+   * @param limits - Counts requests, and receives the limit that each response
+   *   states
    */
   constructor(
     private readonly dialect: Dialect,
@@ -136,6 +137,7 @@
       if (request === undefined) {
         return;
       }
+      this.limits.recordRequest(attempt.endpoint.id);
       trackConnection(request, progress);
       request.on('error', fail);
       request.on('response', response => {
@@ -191,7 +193,6 @@
   ): AttemptResult {
     const metadata = this.dialect.readResponse(response);
     const status = response.statusCode ?? 0;
-    this.limits.recordResponse(attempt.endpoint.id, metadata.requestsPerSecond);
     response.on('error', () => undefined);
     const matchesRequest =
       metadata.requestId === undefined
@@ -201,6 +202,12 @@
       request.destroy();
       return {kind: 'unknown', reason: 'an answer to another request'};
     }
+    if (metadata.isSigned || metadata.isNotRun) {
+      this.limits.recordResponse(
+        attempt.endpoint.id,
+        metadata.requestsPerSecond,
+      );
+    }
     if (metadata.isNotRun) {
       response.resume();
       return {kind: 'refused', status, metadata};
--- a/packages/forwarding/src/endpoint_limits/endpoint_limits.ts
+++ b/packages/forwarding/src/endpoint_limits/endpoint_limits.ts
@@ -1,22 +1,60 @@
 /**
- * Rate limits that endpoints state in their responses.
+ * Rate limits that endpoints state in their responses, kept by all gateways
+ * together.
  */
+import type {EndpointLimit} from '@briarpin/messages';
+import {SharedRateLimit} from '@briarpin/scheduling';
 import type {EventLogger} from '@briarpin/telemetry';
 
+/**
+ * Time for which reports include a limit after it was last confirmed, or after
+ * its end.
+ */
+const REPORTED_AGE_MILLISECONDS = 10_000;
+
+/**
+ * Limit up to which each request is reported at once; at higher ones the
+ * periodic reports are frequent enough.
+ */
+const REPORTED_AT_ONCE_PER_SECOND = 100;
+
+/** Limits in a report, so that it usually fits into one Ethernet frame. */
+const MAXIMUM_REPORTED_LIMITS = 16;
+
 /** Options of {@link EndpointLimits}. */
 export interface EndpointLimitsOptions {
+  /** Monotonic time, in milliseconds. */
+  readonly now: () => number;
+  /** Returns a random number in [0, 1). */
+  readonly random: () => number;
   readonly logger: EventLogger;
+  /** Called when other gateways must count a request. */
+  readonly onLimitedRequest: () => void;
+}
+
+/** What the gateways know of the limit of one endpoint. */
+interface KnownLimit {
+  /** Undefined once the endpoint states none any more. */
+  requestsPerSecond: number | undefined;
+  /** When a response stated it, here or at another gateway. */
+  statedAt: number;
+  /** Requests that this process has sent since it knows of the limit. */
+  sentCount: number;
+  readonly rate: SharedRateLimit;
 }
 
 /**
- * Keeps the rate limit that each endpoint stated last. A limit is in force until
- * a response of the endpoint states another one or none.
+ * Keeps the rate limit that each endpoint stated last to any gateway, and counts
+ * the requests of all gateways against it. A limit is in force until a response
+ * of the endpoint states another one or none.
  */
 export class EndpointLimits {
-  private readonly limits = new Map<string, number>();
+  private readonly limits = new Map<string, KnownLimit>();
+  /** Counts of the last report, by gateway and endpoint. */
+  private readonly reportedCounts = new Map<string, number>();
 
   /**
-   * @param options - Log of the changes
+   * @param options - Clock, random source, log and callback
    */
   constructor(private readonly options: EndpointLimitsOptions) {}
 
@@ -30,24 +68,130 @@
     endpointId: string,
     requestsPerSecond: number | undefined,
   ): void {
-    const previous = this.limits.get(endpointId);
-    if (previous === requestsPerSecond) {
+    if (requestsPerSecond !== undefined || this.limits.has(endpointId)) {
+      this.set(endpointId, requestsPerSecond, this.options.now());
+    }
+  }
+
+  /** Counts a request that is sent to an endpoint. */
+  recordRequest(endpointId: string): void {
+    const limit = this.limits.get(endpointId);
+    if (limit?.requestsPerSecond === undefined) {
       return;
     }
-    if (requestsPerSecond === undefined) {
-      this.limits.delete(endpointId);
+    limit.sentCount += 1;
+    limit.rate.charge(1);
+    if (limit.requestsPerSecond <= REPORTED_AT_ONCE_PER_SECOND) {
+      this.options.onLimitedRequest();
+    }
+  }
+
+  /** Returns whether an endpoint accepts another request now. */
+  hasCapacity(endpointId: string): boolean {
+    const limit = this.limits.get(endpointId);
+    return limit?.requestsPerSecond === undefined || limit.rate.hasCapacity();
+  }
+
+  /** Computes the milliseconds until an endpoint accepts another request. */
+  computeWaitMilliseconds(endpointId: string): number {
+    const limit = this.limits.get(endpointId);
+    return limit?.requestsPerSecond === undefined
+      ? 0
+      : limit.rate.computeWaitMilliseconds();
+  }
+
+  /** Returns the limits and this gateway's requests, for other gateways. */
+  createReport(): EndpointLimit[] {
+    const now = this.options.now();
+    const reported: EndpointLimit[] = [];
+    for (const [endpoint, limit] of this.limits) {
+      const ageMilliseconds = Math.round(now - limit.statedAt);
+      if (ageMilliseconds <= REPORTED_AGE_MILLISECONDS) {
+        const {requestsPerSecond, sentCount} = limit;
+        reported.push({
+          endpoint,
+          ageMilliseconds,
+          requestsPerSecond,
+          sentCount,
+        });
+      }
+    }
+    return reported.slice(0, MAXIMUM_REPORTED_LIMITS);
+  }
+
+  /**
+   * Applies the limits that another gateway knows, and charges the requests that
+   * it has sent since its last report.
+   */
+  applyReport(gateway: string, reported: readonly EndpointLimit[]): void {
+    const now = this.options.now();
+    for (const {
+      endpoint,
+      ageMilliseconds,
+      requestsPerSecond,
+      sentCount,
+    } of reported) {
+      const statedAt = now - ageMilliseconds;
+      const known = this.limits.get(endpoint);
+      if (known === undefined || statedAt > known.statedAt) {
+        this.set(endpoint, requestsPerSecond, statedAt);
+      }
+      this.charge(gateway, endpoint, sentCount);
+    }
+  }
+
+  /** Removes the limit of an endpoint that has left. */
+  remove(endpointId: string): void {
+    this.limits.delete(endpointId);
+  }
+
+  private set(
+    endpoint: string,
+    requestsPerSecond: number | undefined,
+    statedAt: number,
+  ): void {
+    const {now, random, logger} = this.options;
+    const known = this.limits.get(endpoint);
+    const previous = known?.requestsPerSecond;
+    if (known === undefined) {
+      const rate = new SharedRateLimit({
+        requestsPerSecond: requestsPerSecond ?? 0,
+        now,
+        random,
+      });
+      this.limits.set(endpoint, {
+        requestsPerSecond,
+        statedAt,
+        sentCount: 0,
+        rate,
+      });
     } else {
-      this.limits.set(endpointId, requestsPerSecond);
+      known.requestsPerSecond = requestsPerSecond;
+      known.statedAt = statedAt;
+    }
+    if (previous === requestsPerSecond) {
+      return;
     }
-    this.options.logger.info('endpoint_limit', {
-      endpoint: endpointId,
+    known?.rate.setRate(requestsPerSecond ?? 0);
+    logger.info('endpoint_limit', {
+      endpoint,
       previous,
       requests_per_second: requestsPerSecond,
     });
   }
 
-  /** Removes the limit of an endpoint that has left. */
-  remove(endpointId: string): void {
-    this.limits.delete(endpointId);
+  /** Charges what another gateway has sent since its last report. */
+  private charge(gateway: string, endpoint: string, sentCount: number): void {
+    const key = `${gateway}\n${endpoint}`;
+    const before = this.reportedCounts.get(key);
+    this.reportedCounts.set(key, sentCount);
+    if (before === undefined) {
+      return;
+    }
+    // A restarted process counts from 0.
+    const sent = sentCount >= before ? sentCount - before : sentCount;
+    if (sent > 0) {
+      this.limits.get(endpoint)?.rate.charge(sent);
+    }
   }
 }
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -90,14 +90,45 @@
   return Math.max(0, exchange.expiresAt - clock.now());
 }
 
-/** Returns the ready endpoints of the service that were not attempted yet. */
+/** Returns the ready endpoints of the service that are not at their limit. */
+export function findAcceptingEndpoints(
+  {service}: Pick<Exchange, 'service'>,
+  {endpoints, limits}: ForwardingContext,
+): EndpointEntry[] {
+  return endpoints
+    .findReady(service.name)
+    .filter(entry => limits.hasCapacity(entry.id));
+}
+
+/** Returns the endpoints that accept the request and were not attempted yet. */
 export function findUntriedEndpoints(
   exchange: Exchange,
   context: ForwardingContext,
 ): EndpointEntry[] {
-  return context.endpoints
-    .findReady(exchange.service.name)
-    .filter(entry => !exchange.triedEndpointIds.includes(entry.id));
+  return findAcceptingEndpoints(exchange, context).filter(
+    entry => !exchange.triedEndpointIds.includes(entry.id),
+  );
+}
+
+/**
+ * Computes when a request that no endpoint accepts may come again.
+ *
+ * @param exchange - The request
+ * @param context - Endpoints and their limits
+ * @param overloadMilliseconds - Time for which endpoints without a limit are
+ *   expected to be overloaded
+ * @returns Milliseconds until the first endpoint is expected to accept it
+ */
+export function computeRetryAfterMilliseconds(
+  {service}: Exchange,
+  {endpoints, limits}: ForwardingContext,
+  overloadMilliseconds: number,
+): number {
+  const waits = endpoints
+    .findReady(service.name)
+    .map(({id}) => limits.computeWaitMilliseconds(id));
+  const shortestWait = waits.length === 0 ? 0 : Math.min(...waits);
+  return Math.max(overloadMilliseconds, shortestWait);
 }
 
 /**
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -15,6 +15,7 @@
   findUntriedEndpoints,
   logFailedAttempt,
   computeRemainingMilliseconds,
+  computeRetryAfterMilliseconds,
   type Exchange,
   type ExchangeResult,
   type ForwardingContext,
@@ -91,7 +92,11 @@
   return failExchange(exchange, context, {
     reason: failure?.reason ?? 'no endpoint takes work',
     mayHaveRun,
-    retryAfterMilliseconds: OVERLOAD_RETRY_MILLISECONDS,
+    retryAfterMilliseconds: computeRetryAfterMilliseconds(
+      exchange,
+      context,
+      OVERLOAD_RETRY_MILLISECONDS,
+    ),
   });
 }
 
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.test.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.test.ts
@@ -53,6 +53,7 @@
       leaving: [{endpoint: 'e-2', startedAt: 3}],
       arrived: [ARRIVED],
       suspicions: [],
+      limits: [],
       endpointsAgeMilliseconds: 12,
       storeAgeMilliseconds: 5,
     }),
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
@@ -8,6 +8,7 @@
   GatewayNews,
   type ArrivedEndpoint,
   type CrashSuspicion,
+  type EndpointLimit,
   type EndpointWork,
   type LeavingEndpoint,
 } from '@briarpin/messages';
@@ -32,6 +33,8 @@
   readonly arrived: readonly ArrivedEndpoint[];
   /** Crashes that it recently observed, and requests cleared of them. */
   readonly suspicions: readonly CrashSuspicion[];
+  /** Limits that endpoints stated to it, and its requests under them. */
+  readonly limits: readonly EndpointLimit[];
   /** True for the first report of a process, and after a silence. */
   readonly isFirst: boolean;
   /** Time between its last read of the endpoints and this report. */
@@ -48,6 +51,7 @@
   readonly leaving: LeavingEndpoint[];
   readonly arrived: ArrivedEndpoint[];
   readonly suspicions: CrashSuspicion[];
+  readonly limits: EndpointLimit[];
   readonly endpointsAgeMilliseconds: number;
   readonly storeAgeMilliseconds: number;
 }
--- a/packages/forwarding/src/run_mover/run_mover.ts
+++ b/packages/forwarding/src/run_mover/run_mover.ts
@@ -6,7 +6,11 @@
 
 import {chooseCopyTarget} from '../choose_placement/choose_placement.js';
 import {computeCopyMilliseconds} from '../compute_copy_milliseconds/compute_copy_milliseconds.js';
-import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
+import {
+  findAcceptingEndpoints,
+  type Exchange,
+  type ForwardingContext,
+} from '../exchange/exchange.js';
 import {
   dropCopy,
   moveRun,
@@ -193,9 +197,9 @@
     allowsOtherRegions: boolean,
   ): EndpointEntry | undefined {
     const {exchange, context} = this;
-    const candidates = context.endpoints
-      .findReady(exchange.service.name)
-      .filter(entry => entry.id !== source.id && !excluded.includes(entry.id));
+    const candidates = findAcceptingEndpoints(exchange, context).filter(
+      entry => entry.id !== source.id && !excluded.includes(entry.id),
+    );
     const holder = this.generation.endpointStream()?.checkpointHolder;
     return (
       candidates.find(entry => entry.id === holder?.id) ??
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -20,6 +20,7 @@
   logFailedAttempt,
   resolvePriority,
   computeRemainingMilliseconds,
+  computeRetryAfterMilliseconds,
   type Exchange,
   type ExchangeResult,
   type ForwardingContext,
@@ -396,7 +397,11 @@
     return failExchange(exchange, context, {
       reason,
       mayHaveRun,
-      retryAfterMilliseconds: OVERLOAD_RETRY_MILLISECONDS,
+      retryAfterMilliseconds: computeRetryAfterMilliseconds(
+        exchange,
+        context,
+        OVERLOAD_RETRY_MILLISECONDS,
+      ),
     });
   }
 }
--- a/packages/messages/src/index.ts
+++ b/packages/messages/src/index.ts
@@ -20,6 +20,7 @@
   GatewayNews,
   type ArrivedEndpoint,
   type CrashSuspicion,
+  type EndpointLimit,
   type EndpointWork,
   type LeavingEndpoint,
 } from './generated/gateway_news.js';
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -19,6 +19,7 @@
 export * from './request/request.js';
 export * from './retry_budget/retry_budget.js';
 export * from './select_endpoint/select_endpoint.js';
+export * from './shared_rate_limit/shared_rate_limit.js';
 export * from './throughput_meter/throughput_meter.js';
 export * from './urgent_allowance/urgent_allowance.js';
 export * from './windowed_retry_budget/windowed_retry_budget.js';
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -167,6 +167,14 @@
     to: 'if (true) {',
     test: 'suspicion_replica',
   },
+  {
+    promise: 'all gateways together keep the limit of an endpoint',
+    mechanism: 'the requests of other gateways are counted',
+    file: 'packages/forwarding/dist/endpoint_limits/endpoint_limits.js',
+    from: 'if (sent > 0) {',
+    to: 'if (false) {',
+    test: 'endpoint_limits',
+  },
   {
     promise: 'retries of all gateways stay within the budget',
     mechanism: 'a starting process reserves no retries',
