Say not run for a revoked attempt only if this process would know it

What callers could get: the outcome not_run for a generation that had run, when its sidecar had been restarted at the same address, or had forgotten it, before the gateway revoked it; and for a call to a plain service that had ended.

Cause: revoke took the absence of a record for the proof that nothing was sent. Class: absence of knowledge in a process that started later, read as knowledge.

Change: the gateway states how old the attempt is at most when the revocation arrives; a sidecar without a record says NOT_RUN only if it has run, and remembered, for longer, else UNKNOWN. A plain service's call is not run only while it is open and unsent. Ruled out: keeping attempts for longer, which a restart undoes.

--- a/packages/daemon/src/gateway/generation_session.ts
+++ b/packages/daemon/src/gateway/generation_session.ts
@@ -100,6 +100,8 @@
   private readonly notReadyInstances = new Set<string>();
   private readonly abortController = new AbortController();
   private attemptId = '';
+  /** When the current attempt was sent, by the clock of this instance. */
+  private attemptSentAt = 0;
   private nextIndex = 0;
   private bufferedTexts: string[] = [];
   private isCertainlyNotRun = true;
@@ -303,6 +305,7 @@
   ): Promise<AttemptResult> {
     this.attempts += 1;
     this.attemptId = randomUUID();
+    this.attemptSentAt = this.context.clock.now();
     this.endpoint = endpoint;
     this.nextIndex = 0;
     this.bufferedTexts = [];
@@ -527,9 +530,12 @@
       return Promise.resolve(Outcome.NOT_RUN);
     }
     const deadline = Date.now() + REVOKE_TIMEOUT_MILLISECONDS;
+    const sentMilliseconds = this.context.clock.now() - this.attemptSentAt;
+    const ageMilliseconds =
+      Math.max(0, Math.round(sentMilliseconds)) + REVOKE_TIMEOUT_MILLISECONDS;
     return new Promise(resolve => {
       endpoint.client.revoke(
-        {attemptId},
+        {attemptId, ageMilliseconds},
         new Metadata(),
         {deadline},
         (error, reply: RevokeReply | undefined) => {
--- a/packages/daemon/src/sidecar/model_runner.ts
+++ b/packages/daemon/src/sidecar/model_runner.ts
@@ -94,12 +94,14 @@
    */
   private externalTokenSamples: number[] = [];
   private isDraining = false;
+  private readonly startedAt: number;
 
   constructor(
     private readonly context: ProcessContext,
     private readonly engine: EngineClient,
     private readonly options: ModelRunnerOptions,
   ) {
+    this.startedAt = context.clock.now();
     this.lifetimes = new EngineLifetimes(context.instance);
     this.scheduler = new EngineScheduler({
       capacityTokens: 0,
@@ -224,14 +226,18 @@
    * Revokes an attempt.
    *
    * @param attemptId - Identifier of the attempt
-   * @returns `NOT_RUN` when this process has no record of the attempt or has
-   *     not sent it to the engine; it does not send it later
+   * @param ageMilliseconds - Upper bound of the time since it was submitted
+   * @returns `NOT_RUN` when this process has not sent the attempt to the engine;
+   *     it does not send it later. `UNKNOWN` when an earlier process may have
+   *     sent it, or this one may have forgotten it
    */
-  revoke(attemptId: string): Outcome {
+  revoke(attemptId: string, ageMilliseconds: number): Outcome {
     const attempt = this.attempts.get(attemptId);
     if (attempt === undefined) {
       this.revokedAttemptIds.add(attemptId);
-      return Outcome.NOT_RUN;
+      return this.remembersSince(ageMilliseconds)
+        ? Outcome.NOT_RUN
+        : Outcome.UNKNOWN;
     }
     if (this.scheduler.withdraw(attemptId)) {
       this.fail(attempt, FailureKind.REVOKED);
@@ -245,6 +251,16 @@
     return end.kind === 'finished' ? Outcome.DONE : end.failure.outcome;
   }
 
+  /** Returns whether this process knows every attempt up to an age. */
+  private remembersSince(ageMilliseconds: number): boolean {
+    const {clock} = this.context;
+    const uptimeMilliseconds = clock.now() - this.startedAt;
+    return (
+      ageMilliseconds <
+      Math.min(uptimeMilliseconds, this.options.resumeGraceMilliseconds)
+    );
+  }
+
   /**
    * Detaches a reader from its generation.
    *
--- a/packages/daemon/src/sidecar/service_runner.ts
+++ b/packages/daemon/src/sidecar/service_runner.ts
@@ -49,6 +49,7 @@
  * claim of its key, and only once.
  */
 export class ServiceRunner {
+  private readonly openAttemptIds = new Set<string>();
   private readonly revokedAttemptIds = new Set<string>();
   private readonly sentAttemptIds = new Set<string>();
   private openCallCount = 0;
@@ -82,12 +83,15 @@
     }
     const deadline = this.context.clock.now() + call.deadlineMilliseconds;
     this.openCallCount += 1;
+    this.openAttemptIds.add(call.attemptId);
     try {
       return call.idempotent
         ? await this.send(call, deadline)
         : await this.claimAndCall(call, deadline);
     } finally {
       this.openCallCount -= 1;
+      this.openAttemptIds.delete(call.attemptId);
+      this.revokedAttemptIds.delete(call.attemptId);
       this.sentAttemptIds.delete(call.attemptId);
     }
   }
@@ -95,11 +99,12 @@
   /**
    * Revokes a call.
    *
-   * @returns `UNKNOWN` while the call is running at the service; otherwise
-   *     `NOT_RUN`, also for a call that has ended
+   * @returns `NOT_RUN` for an open call that has not been sent to the service; it
+   *     is not sent later. `UNKNOWN` for any other: it may have run before
    */
   revoke(attemptId: string): Outcome {
-    if (this.sentAttemptIds.has(attemptId)) {
+    const isOpen = this.openAttemptIds.has(attemptId);
+    if (!isOpen || this.sentAttemptIds.has(attemptId)) {
       return Outcome.UNKNOWN;
     }
     this.revokedAttemptIds.add(attemptId);
--- a/packages/daemon/src/sidecar/sidecar_service.ts
+++ b/packages/daemon/src/sidecar/sidecar_service.ts
@@ -67,8 +67,9 @@
       write(call, model.resume(attemptId, fromIndex), fromIndex);
     },
     revoke: (call, callback) => {
-      const {attemptId} = call.request;
-      const outcome = (model ?? service)?.revoke(attemptId);
+      const {attemptId, ageMilliseconds} = call.request;
+      const outcome =
+        model?.revoke(attemptId, ageMilliseconds) ?? service?.revoke(attemptId);
       callback(null, {outcome: outcome ?? Outcome.UNKNOWN});
     },
     callService: (call, callback) => {
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -54,6 +54,15 @@
     to: 'Outcome.NOT_RUN',
     test: 'invariants/not_run',
   },
+  {
+    promise:
+      'the outcome "not run" is reported only if the request did not run',
+    mechanism: 'a process that started later cannot tell',
+    file: 'packages/daemon/dist/sidecar/model_runner.js',
+    from: 'return this.remembersSince(ageMilliseconds)',
+    to: 'return true',
+    test: 'sidecar/revoke',
+  },
   {
     promise: 'a non-idempotent call runs at most once',
     mechanism: 'the key is claimed before the call is sent',
