Probe no endpoint after an attempt that the caller ended

Nothing but the caller ended those attempts. They still count when the endpoint's entry goes (a server that falls silent).

--- a/packages/forwarding/src/crash_quarantine/crash_quarantine.test.ts
+++ b/packages/forwarding/src/crash_quarantine/crash_quarantine.test.ts
@@ -13,6 +13,7 @@
 
 const REQUEST: SuspectedRequest = {
   fingerprint: () => 'a',
+  signal: new AbortController().signal,
   metadata: {
     requestId: 'r-1',
     promptTokens: 0,
@@ -45,6 +46,7 @@
   let entries: Map<string, EndpointEntry>;
   let announced: SuspicionRecord[];
   let now: number;
+  let probeCount: number;
 
   beforeEach(() => {
     table = new SuspicionTable();
@@ -52,21 +54,28 @@
     entries = new Map();
     announced = [];
     now = 0;
+    probeCount = 0;
     quarantine = new CrashQuarantine({
       table,
       endpoints: {find: id => entries.get(id)},
       now: () => now,
       wallClockMilliseconds: () => now,
-      probeListener: () => Promise.resolve(listenerState),
+      probeListener: () => {
+        probeCount += 1;
+        return Promise.resolve(listenerState);
+      },
       logger: LOGGER,
       onSuspicion: record => announced.push(record),
     });
   });
 
-  const interrupt = async (id: string): Promise<EndpointEntry> => {
+  const interrupt = async (
+    id: string,
+    request = REQUEST,
+  ): Promise<EndpointEntry> => {
     const entry = createEntry(id);
     entries.set(id, entry);
-    quarantine.recordInterrupted(REQUEST, entry);
+    quarantine.recordInterrupted(request, entry);
     await new Promise(resolve => setImmediate(resolve));
     return entry;
   };
@@ -98,6 +107,14 @@
     assert.equal(isRefused(), true);
   });
 
+  it('probes no endpoint when the caller ended the attempt', async () => {
+    listenerState = 'not_listening';
+    await interrupt('one', {...REQUEST, signal: AbortSignal.abort()});
+    assert.equal(probeCount, 0);
+    await interrupt('one');
+    assert.equal(probeCount, 1);
+  });
+
   it('does not count an endpoint that shuts down with a notice', async () => {
     for (const id of ['one', 'two', 'three']) {
       const entry = await interrupt(id);
--- a/packages/forwarding/src/crash_quarantine/crash_quarantine.ts
+++ b/packages/forwarding/src/crash_quarantine/crash_quarantine.ts
@@ -28,7 +28,10 @@
 const CONFIRMATION_MILLISECONDS = 10_000;
 
 /** The properties of a request by which it is recognised and logged. */
-export type SuspectedRequest = Pick<Exchange, 'fingerprint' | 'metadata'>;
+export type SuspectedRequest = Pick<
+  Exchange,
+  'fingerprint' | 'metadata' | 'signal'
+>;
 
 /** Options of {@link CrashQuarantine}. */
 export interface CrashQuarantineOptions {
@@ -106,7 +109,10 @@
     const attempts = this.interrupted.get(incarnation) ?? [];
     attempts.push({request, interruptedAt: this.options.now()});
     this.interrupted.set(incarnation, attempts);
-    runTask('crash_probe', this.options.logger, () => this.probe(endpoint));
+    // An attempt that the caller or the deadline ended shows nothing yet.
+    if (!request.signal.aborted) {
+      runTask('crash_probe', this.options.logger, () => this.probe(endpoint));
+    }
   }
 
   /** Records a request that an endpoint ran to its end. */
