Forget the limit of an endpoint that nothing confirms any more

Cause: the counts that other gateways reported under a limit were kept by gateway and endpoint for good, also for endpoints that had left; a report that came late restored such a limit. Change: the counts belong to the limit and go with it, and a limit that no response has confirmed for a minute is forgotten. Ruled out: tying it to the registry, which a late report outlives.

New test in endpoint_limits; npm test endpoint_limits passes.

--- a/packages/forwarding/src/endpoint_limits/endpoint_limits.test.ts
+++ b/packages/forwarding/src/endpoint_limits/endpoint_limits.test.ts
@@ -68,6 +68,17 @@
     assert.equal(second.hasCapacity('e'), false);
   });
 
+  it('forgets a limit that no response confirms for long', () => {
+    first.recordResponse('e', 0);
+    first.recordRequest('e');
+    assert.equal(first.hasCapacity('e'), false);
+    now = 61_000;
+    first.createReport();
+    first.recordRequest('e');
+    first.recordRequest('e');
+    assert.equal(first.hasCapacity('e'), true);
+  });
+
   it('applies what the endpoint stated last, to any gateway', () => {
     first.recordResponse('e', 1);
     now = 100;
--- a/packages/forwarding/src/endpoint_limits/endpoint_limits.ts
+++ b/packages/forwarding/src/endpoint_limits/endpoint_limits.ts
@@ -12,6 +12,12 @@
  */
 const REPORTED_AGE_MILLISECONDS = 10_000;
 
+/**
+ * Time after which a limit is forgotten that no response has confirmed, such as
+ * that of an endpoint that has left.
+ */
+const LIFETIME_MILLISECONDS = 60_000;
+
 /**
  * Limit up to which each request is reported at once; at higher ones the
  * periodic reports are frequent enough.
@@ -41,6 +47,8 @@
   /** Requests that this process has sent since it knows of the limit. */
   sentCount: number;
   readonly rate: SharedRateLimit;
+  /** Requests that other gateways have sent, as of their last reports. */
+  readonly sentByGateway: Map<string, number>;
 }
 
 /**
@@ -50,8 +58,6 @@
  */
 export class EndpointLimits {
   private readonly limits = new Map<string, KnownLimit>();
-  /** Counts of the last report, by gateway and endpoint. */
-  private readonly reportedCounts = new Map<string, number>();
 
   /**
    * @param options - Clock, random source, log and callback
@@ -106,6 +112,9 @@
     const reported: EndpointLimit[] = [];
     for (const [endpoint, limit] of this.limits) {
       const ageMilliseconds = Math.round(now - limit.statedAt);
+      if (ageMilliseconds > LIFETIME_MILLISECONDS) {
+        this.limits.delete(endpoint);
+      }
       if (ageMilliseconds <= REPORTED_AGE_MILLISECONDS) {
         const {requestsPerSecond, sentCount} = limit;
         reported.push({
@@ -164,6 +173,7 @@
         statedAt,
         sentCount: 0,
         rate,
+        sentByGateway: new Map(),
       });
     } else {
       known.requestsPerSecond = requestsPerSecond;
@@ -182,16 +192,16 @@
 
   /** Charges what another gateway has sent since its last report. */
   private charge(gateway: string, endpoint: string, sentCount: number): void {
-    const key = `${gateway}\n${endpoint}`;
-    const before = this.reportedCounts.get(key);
-    this.reportedCounts.set(key, sentCount);
+    const limit = this.limits.get(endpoint);
+    const before = limit?.sentByGateway.get(gateway);
+    limit?.sentByGateway.set(gateway, sentCount);
     if (before === undefined) {
       return;
     }
     // A restarted process counts from 0.
     const sent = sentCount >= before ? sentCount - before : sentCount;
     if (sent > 0) {
-      this.limits.get(endpoint)?.rate.charge(sent);
+      limit?.rate.charge(sent);
     }
   }
 }
