Give the evacuation benchmark the limits of endpoints

Cause: the context is cast, so the compiler does not see what it lacks. Change: the benchmark uses the product's EndpointLimits, in which no endpoint states one. Gateways are unchanged.

--- a/packages/stand_ins/src/bench/simulate_evacuation.ts
+++ b/packages/stand_ins/src/bench/simulate_evacuation.ts
@@ -8,6 +8,7 @@
   type EngineProfile,
 } from '@briarpin/coordination';
 import {
+  EndpointLimits,
   EndpointLoads,
   EvacuationTurn,
   Evacuator,
@@ -373,19 +374,26 @@
       }
     },
   };
+  const logger = {
+    error: doNothing,
+    warn: doNothing,
+    info: doNothing,
+    debug: doNothing,
+  };
   const context: Partial<Record<keyof ForwardingContext, unknown>> = {
     dialect,
     clock: simulation.clock,
     random,
-    logger: {
-      error: doNothing,
-      warn: doNothing,
-      info: doNothing,
-      debug: doNothing,
-    },
+    logger,
     client: {preconnect: doNothing},
     endpoints: {findReady: () => simulation.findReady()},
     loads: SHARED_LOADS.get(simulation),
+    limits: new EndpointLimits({
+      now: () => simulation.clock.now(),
+      random,
+      logger,
+      onLimitedRequest: doNothing,
+    }),
     regionOf: (zone: string) =>
       String(Math.floor(Number(zone.split('-')[1]) / ZONES_PER_REGION)),
   };
