Log how answers without a length end

The log tells neither what delimits an answer nor what it ended with, so the hypotheses cannot be told apart.

unframed_answer_ended names the request, the endpoint, how the gateway took the end, the events so far and the bytes after the last of them. The tracking of the end moves, unchanged, to where every HTTP client can use it.

No logic changed.

--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -5,6 +5,7 @@
 import type net from 'node:net';
 
 import type {EndpointEntry} from '@briarpin/coordination';
+import {trackResponseEnd, type ResponseEnd} from '@briarpin/platform';
 
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {ResponseMetadata, Dialect} from '../dialect/dialect.js';
@@ -57,8 +58,8 @@
       readonly kind: 'answered';
       readonly response: http.IncomingMessage;
       readonly metadata: ResponseMetadata;
-      /** True when the whole body arrived; valid after the body has ended. */
-      readonly isComplete: () => boolean;
+      /** How the body ended; valid after its last byte. */
+      readonly end: ResponseEnd;
     }
   /** The endpoint states that it did not run the request. */
   | {
@@ -216,34 +217,11 @@
       request.destroy();
       return {kind: 'unknown', reason: `status ${status} without a promise`};
     }
-    const isComplete = trackCompleteness(response);
-    return {kind: 'answered', response, metadata, isComplete};
+    const end = trackResponseEnd(response);
+    return {kind: 'answered', response, metadata, end};
   }
 }
 
-/**
- * Tracks whether a response arrives completely. A body without a length ends
- * with its connection, and a reset can look like such an end: the event loop
- * reports the end of the stream if the reset arrives together with the last
- * bytes. Only an orderly closed connection still has a peer address then.
- */
-function trackCompleteness(response: http.IncomingMessage): () => boolean {
-  const {headers, socket} = response;
-  const isDelimited =
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined;
-  if (isDelimited) {
-    return () => response.complete;
-  }
-  let closedInOrder = false;
-  // Must run before the client's own listener, which closes the socket.
-  socket.prependOnceListener('end', () => {
-    closedInOrder = socket.remotePort !== undefined;
-  });
-  socket.once('error', () => (closedInOrder = false));
-  return () => response.complete && closedInOrder;
-}
-
 /** Records when a connection is established, and enforces its timeout. */
 function trackConnection(
   request: http.ClientRequest,
@@ -279,14 +257,14 @@
  */
 export function bufferBody({
   response,
-  isComplete,
+  end,
 }: AttemptResult & {kind: 'answered'}): Promise<BufferedBody> {
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     let size = 0;
     const settle = (reason?: string) => {
       resolve(
-        reason === undefined && isComplete()
+        reason === undefined && end.isWhole()
           ? {kind: 'whole', body: Buffer.concat(chunks)}
           : {kind: 'broken', reason: reason ?? 'the answer broke off'},
       );
--- a/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
+++ b/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
@@ -4,6 +4,7 @@
 import type {IncomingMessage} from 'node:http';
 
 import type {EndpointEntry} from '@briarpin/coordination';
+import type {BodyFraming, ResponseEnd} from '@briarpin/platform';
 
 import {
   EventSplitter,
@@ -23,8 +24,8 @@
 export interface EndpointStreamOptions {
   readonly endpoint: EndpointEntry;
   readonly response: IncomingMessage;
-  /** True when the whole body arrived; valid after the body has ended. */
-  readonly isComplete: () => boolean;
+  /** How the body ended; valid after its last byte. */
+  readonly end: ResponseEnd;
   /** Closes the connection to the endpoint. */
   readonly abort: () => void;
   /** Endpoint that stores a checkpoint of this run. */
@@ -75,7 +76,7 @@
       response.on('data', (chunk: Buffer) => this.handleChunk(chunk));
       response.on('end', () => {
         this.resolveEnd?.(
-          this.options.isComplete()
+          this.options.end.isWhole()
             ? {kind: 'complete', remainder: this.splitter.remainder}
             : {kind: 'broken', reason: 'the stream broke off'},
         );
@@ -89,6 +90,16 @@
     });
   }
 
+  /** What delimits the body of the response. */
+  get framing(): BodyFraming {
+    return this.options.end.framing;
+  }
+
+  /** Number of bytes received after the last complete event. */
+  get unfinishedBytes(): number {
+    return this.splitter.remainder.length;
+  }
+
   /** Discards further events and closes the connection. */
   stop(reason: string): void {
     this.isStopped = true;
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -145,6 +145,7 @@
       createAttempt(exchange, context, entry),
     );
     const result = await readResult(attempt);
+    logUnframedEnd(exchange, context, entry, attempt, result);
     const failed = !isSuccess(result);
     loads.recordOutcome(
       entry.id,
@@ -157,6 +158,25 @@
   }
 }
 
+/** Logs how an answer ended that has neither a length nor chunks. */
+function logUnframedEnd(
+  {metadata}: Exchange,
+  {logger}: ForwardingContext,
+  {id}: EndpointCandidate['entry'],
+  attempt: AttemptResult,
+  result: CallResult,
+): void {
+  if (attempt.kind !== 'answered' || attempt.end.framing !== 'connection') {
+    return;
+  }
+  logger.info('unframed_answer_ended', {
+    request: metadata.requestId,
+    endpoint: id,
+    end: result.kind === 'whole' ? 'complete' : 'broken',
+    reason: result.kind === 'whole' ? undefined : result.reason,
+  });
+}
+
 function createAttempt(
   exchange: Exchange,
   context: ForwardingContext,
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -123,6 +123,7 @@
       this.stream = stream;
       const end = await stream.run();
       this.stream = undefined;
+      this.logUnframedEnd(stream, end);
       if (end.kind === 'complete') {
         this.mover.discardMove();
         this.context.quarantine.recordCompleted(this.exchange);
@@ -206,6 +207,22 @@
     this.context.quarantine.recordInterrupted(this.exchange, endpoint);
   }
 
+  /** Logs how a stream ended that has neither a length nor chunks. */
+  private logUnframedEnd(stream: EndpointStream, end: EndpointStreamEnd): void {
+    const {exchange, context, writer} = this;
+    if (stream.framing !== 'connection') {
+      return;
+    }
+    context.logger.info('unframed_answer_ended', {
+      request: exchange.metadata.requestId,
+      endpoint: stream.endpoint.id,
+      end: end.kind,
+      reason: end.kind === 'broken' ? end.reason : undefined,
+      events: writer.sentEvents,
+      unfinished: stream.unfinishedBytes,
+    });
+  }
+
   private logPlacement(engine: EndpointCandidate): void {
     const {exchange, context} = this;
     context.logger.info('placed', {
@@ -366,7 +383,7 @@
     const stream = new EndpointStream({
       endpoint,
       response: result.response,
-      isComplete: result.isComplete,
+      end: result.end,
       abort: () => controller.abort(),
       checkpointHolder: holder,
       releaseLoad: countedWork.release,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,6 +1,8 @@
 /**
- * HTTP clients for the log and the membership list of the platform.
+ * HTTP clients for the log and the membership list of the platform, and what
+ * HTTP clients share.
  */
 export * from './http_log/http_log.js';
 export * from './read_members/read_members.js';
 export * from './send_http/send_http.js';
+export * from './track_response_end/track_response_end.js';
