--- a/packages/stand_ins/src/invariants/whole_answers.test.ts
+++ b/packages/stand_ins/src/invariants/whole_answers.test.ts
@@ -7,9 +7,19 @@
 import assert from 'node:assert/strict';
 import {after, before, describe, it} from 'node:test';
 
-import {expectedText, requestCompletion} from '../fleet/gateway_client.js';
+import {
+  callService,
+  expectedText,
+  requestCompletion,
+} from '../fleet/gateway_client.js';
 import {Fleet} from '../fleet/fleet.js';
-import {createTestPlan, KEY, MODEL, OTHER_KEY} from './test_plan.js';
+import {
+  createTestPlan,
+  KEY,
+  MODEL,
+  OTHER_KEY,
+  RESERVATION_PATH,
+} from './test_plan.js';
 
 const CALLERS = 1_000;
 const FAULT_INTERVAL_MILLISECONDS = 200;
@@ -109,3 +119,45 @@
     }
   });
 });
+
+describe('completeness of service responses without a length', () => {
+  let fleet: Fleet;
+
+  before(async () => {
+    fleet = await Fleet.start(createTestPlan({engines: 0, serviceSidecars: 2}));
+  });
+
+  after(() => fleet.stop());
+
+  it('reports a service response without a length as unknown when it is reset', async () => {
+    const service = fleet.service('plataforma');
+    service.setFault({kind: 'omit_length', count: 1, end: 'reset'});
+    const response = await callService({
+      gateway: fleet.gatewayUrls[0] ?? '',
+      key: KEY,
+      method: 'POST',
+      path: RESERVATION_PATH,
+      body: {lot: 'indigo'},
+      idempotencyKey: 'reset-answer',
+      deadlineMilliseconds: 5_000,
+    });
+    assert.notEqual(response.status, 200);
+    assert.equal(response.error?.outcome, 'unknown');
+  });
+
+  it('returns a service response without a length whole', async () => {
+    const service = fleet.service('plataforma');
+    service.setFault({kind: 'omit_length', count: 1, end: 'close'});
+    const response = await callService({
+      gateway: fleet.gatewayUrls[0] ?? '',
+      key: KEY,
+      method: 'POST',
+      path: RESERVATION_PATH,
+      body: {lot: 'crimson'},
+      idempotencyKey: 'answer-without-length',
+      deadlineMilliseconds: 5_000,
+    });
+    assert.equal(response.status, 200);
+    assert.match(response.text, /"echo":\{"lot":"crimson"\}\}$/);
+  });
+});
--- a/packages/stand_ins/src/plain_service/plain_service_stand_in.ts
+++ b/packages/stand_ins/src/plain_service/plain_service_stand_in.ts
@@ -10,6 +10,9 @@
   type ListeningServer,
 } from '../http/json_server.js';
 
+/** Time between the first bytes of a response and its reset. */
+const RESET_DELAY_MILLISECONDS = 20;
+
 /** Call that ran. */
 export interface ServiceLedgerEntry {
   readonly method: string;
@@ -25,13 +28,21 @@
   /** Delays every response; 0 ends the delay. */
   | {readonly kind: 'slow'; readonly milliseconds: number}
   /** Runs the next calls and drops their responses. */
-  | {readonly kind: 'lose_answers'; readonly count: number};
+  | {readonly kind: 'lose_answers'; readonly count: number}
+  /** Sends the next responses without a length, and ends them as given. */
+  | {
+      readonly kind: 'omit_length';
+      readonly count: number;
+      readonly end: 'close' | 'reset';
+    };
 
 /** Plain service that records every call in a ledger and echoes its body. */
 export class PlainServiceStandIn {
   private listening: ListeningServer | undefined;
   private delayMilliseconds = 0;
   private responsesToDrop = 0;
+  private responsesWithoutLength = 0;
+  private unframedEnd: 'close' | 'reset' = 'close';
   readonly ledger: ServiceLedgerEntry[] = [];
 
   /** Starts the server and returns its base URL. */
@@ -52,8 +63,11 @@
   setFault(fault: ServiceFault): void {
     if (fault.kind === 'slow') {
       this.delayMilliseconds = fault.milliseconds;
-    } else {
+    } else if (fault.kind === 'lose_answers') {
       this.responsesToDrop = fault.count;
+    } else {
+      this.responsesWithoutLength = fault.count;
+      this.unframedEnd = fault.end;
     }
   }
 
@@ -89,6 +103,28 @@
       response.destroy();
       return;
     }
-    sendJson(response, 200, {number, path, echo: body ?? null});
+    const answer = {number, path, echo: body ?? null};
+    if (this.responsesWithoutLength > 0) {
+      this.responsesWithoutLength -= 1;
+      this.sendWithoutLength(response, JSON.stringify(answer));
+      return;
+    }
+    sendJson(response, 200, answer);
+  }
+
+  private sendWithoutLength(response: http.ServerResponse, text: string): void {
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(200, {'Content-Type': 'application/json'});
+    if (this.unframedEnd === 'close') {
+      response.end(text);
+      return;
+    }
+    // The reader receives the last bytes and the reset together.
+    response.write(text.slice(0, -2), () => {
+      setTimeout(() => {
+        response.socket?.write(text.slice(-2, -1));
+        response.socket?.resetAndDestroy();
+      }, RESET_DELAY_MILLISECONDS);
+    });
   }
 }
