Take no broken answer without a length for a complete one

With neither length nor chunks an answer ends with its connection, and the connections of a crashing process are closed in order too; the gateway took each orderly close for the end.

What proves an end now: the socket was not reset, no event has begun after the last whole one (and without a length there is one), the endpoint still listens or has announced its shutdown, and no move was stopping the run at its engine. Events are passed on at once; the end alone waits for one round trip, and only without a length. The rule on events holds for every framing.

Ruled out: a lost last chunk (Node reports it); a reset that is missed (found before, and tested again for streams).

--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -21,7 +21,6 @@
   ForwardingGateway,
   EvacuationTurn,
   GatewayMesh,
-  probeListener,
   RetryBudgets,
   type ForwardingContext,
 } from '@briarpin/forwarding';
@@ -32,6 +31,7 @@
   type InstanceSettings,
 } from '@briarpin/machines';
 import type {SuspicionRecord} from '@briarpin/messages';
+import {probeListener} from '@briarpin/platform';
 import {runTask, type EventLogger} from '@briarpin/telemetry';
 
 import {computeRoundTripMilliseconds} from './compute_round_trip_milliseconds.js';
@@ -295,20 +295,23 @@
     logger,
     onLimitedRequest: onWorkStarted,
   });
+  const quarantine = new CrashQuarantine({
+    table: state.suspicionTable,
+    endpoints,
+    now: () => clock.now(),
+    wallClockMilliseconds: () => Date.now(),
+    probeListener,
+    logger,
+    onSuspicion,
+  });
   return {
     dialect,
-    client: new EndpointClient(dialect, limits),
+    client: new EndpointClient(dialect, limits, endpoint =>
+      quarantine.hasCrashed(endpoint),
+    ),
     limits,
     endpoints,
-    quarantine: new CrashQuarantine({
-      table: state.suspicionTable,
-      endpoints,
-      now: () => clock.now(),
-      wallClockMilliseconds: () => Date.now(),
-      probeListener,
-      logger,
-      onSuspicion,
-    }),
+    quarantine,
     loads: new EndpointLoads({
       now: () => clock.now(),
       roundTripMilliseconds: entry =>
--- a/packages/forwarding/src/crash_quarantine/crash_quarantine.test.ts
+++ b/packages/forwarding/src/crash_quarantine/crash_quarantine.test.ts
@@ -7,8 +7,8 @@
 
 import {SuspicionTable, type EndpointEntry} from '@briarpin/coordination';
 import type {SuspicionRecord} from '@briarpin/messages';
+import type {ListenerState} from '@briarpin/platform';
 
-import type {ListenerState} from '../probe_listener/probe_listener.js';
 import {CrashQuarantine, type SuspectedRequest} from './crash_quarantine.js';
 
 const REQUEST: SuspectedRequest = {
--- a/packages/forwarding/src/crash_quarantine/crash_quarantine.ts
+++ b/packages/forwarding/src/crash_quarantine/crash_quarantine.ts
@@ -9,11 +9,11 @@
   type SuspicionTable,
 } from '@briarpin/coordination';
 import type {SuspicionRecord} from '@briarpin/messages';
+import type {ListenerState} from '@briarpin/platform';
 import {runTask, type EventLogger} from '@briarpin/telemetry';
 
 import type {EndpointAddress} from '../dialect/dialect.js';
 import type {Exchange} from '../exchange/exchange.js';
-import type {ListenerState} from '../probe_listener/probe_listener.js';
 
 /**
  * Crashes from which on a request is refused. Every crash interrupts a full
@@ -99,11 +99,7 @@
       this.suspect(incarnation, [request]);
       return;
     }
-    const current = this.options.endpoints.find(endpoint.id);
-    if (
-      current?.state !== 'ready' ||
-      toIncarnationName(current) !== incarnation
-    ) {
+    if (!this.isReady(endpoint)) {
       return;
     }
     const attempts = this.interrupted.get(incarnation) ?? [];
@@ -123,6 +119,23 @@
     }
   }
 
+  /**
+   * Finds out whether an endpoint has ended without a shutdown notice.
+   *
+   * @param endpoint - Endpoint whose connection has just been closed in order
+   * @returns True when it has crashed; false when it has not, or nothing shows it
+   */
+  async hasCrashed(endpoint: EndpointEntry): Promise<boolean> {
+    const incarnation = toIncarnationName(endpoint);
+    if (this.isReady(endpoint) && !this.crashed.has(incarnation)) {
+      const state = await this.options.probeListener(endpoint);
+      if (state === 'not_listening' && this.isReady(endpoint)) {
+        this.recordCrash(endpoint);
+      }
+    }
+    return this.crashed.has(incarnation);
+  }
+
   /** Records that an incarnation has ended without a shutdown notice. */
   recordCrash(endpoint: EndpointIncarnation): void {
     const incarnation = toIncarnationName(endpoint);
@@ -140,6 +153,15 @@
     this.interrupted.delete(toIncarnationName(endpoint));
   }
 
+  /** True while the registry lists this incarnation as ready. */
+  private isReady(endpoint: EndpointEntry): boolean {
+    const current = this.options.endpoints.find(endpoint.id);
+    return (
+      current?.state === 'ready' &&
+      toIncarnationName(current) === toIncarnationName(endpoint)
+    );
+  }
+
   /** Probes an endpoint, unless a probe is in progress. */
   private async probe(endpoint: EndpointEntry): Promise<void> {
     const incarnation = toIncarnationName(endpoint);
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -5,7 +5,11 @@
 import type net from 'node:net';
 
 import type {EndpointEntry} from '@briarpin/coordination';
-import {trackResponseEnd, type ResponseEnd} from '@briarpin/platform';
+import {
+  confirmResponseEnd,
+  trackResponseEnd,
+  type BodyFraming,
+} from '@briarpin/platform';
 
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {ResponseMetadata, Dialect} from '../dialect/dialect.js';
@@ -58,8 +62,9 @@
       readonly kind: 'answered';
       readonly response: http.IncomingMessage;
       readonly metadata: ResponseMetadata;
-      /** How the body ended; valid after its last byte. */
-      readonly end: ResponseEnd;
+      readonly framing: BodyFraming;
+      /** Finds out, after the last byte of the body, whether it is complete. */
+      readonly confirmEnd: () => Promise<boolean>;
     }
   /** The endpoint states that it did not run the request. */
   | {
@@ -111,10 +116,12 @@
    * @param dialect - Parses the headers of responses
    * @param limits - Counts requests, and receives the limit that each response
    *   states
+   * @param hasCrashed - Finds out whether an endpoint has ended without notice
    */
   constructor(
     private readonly dialect: Dialect,
     private readonly limits: EndpointLimits,
+    private readonly hasCrashed: (endpoint: EndpointEntry) => Promise<boolean>,
   ) {}
 
   /**
@@ -218,7 +225,14 @@
       return {kind: 'unknown', reason: `status ${status} without a promise`};
     }
     const end = trackResponseEnd(response);
-    return {kind: 'answered', response, metadata, end};
+    return {
+      kind: 'answered',
+      response,
+      metadata,
+      framing: end.framing,
+      confirmEnd: () =>
+        confirmResponseEnd(end, () => this.hasCrashed(attempt.endpoint)),
+    };
   }
 }
 
@@ -257,28 +271,34 @@
  */
 export function bufferBody({
   response,
-  end,
+  confirmEnd,
 }: AttemptResult & {kind: 'answered'}): Promise<BufferedBody> {
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     let size = 0;
-    const settle = (reason?: string) => {
-      resolve(
-        reason === undefined && end.isWhole()
-          ? {kind: 'whole', body: Buffer.concat(chunks)}
-          : {kind: 'broken', reason: reason ?? 'the answer broke off'},
-      );
-    };
+    let hasEnded = false;
+    const fail = (reason: string) => resolve({kind: 'broken', reason});
     response.on('data', (chunk: Buffer) => {
       chunks.push(chunk);
       size += chunk.length;
       if (size > MAXIMUM_BUFFERED_BYTES) {
-        settle('the answer is too large');
+        fail('the answer is too large');
         response.destroy();
       }
     });
-    response.on('end', () => settle());
-    response.on('error', error => settle(error.message));
-    response.on('close', () => settle('the connection closed'));
+    response.on('end', () => {
+      hasEnded = true;
+      void confirmEnd().then(isComplete =>
+        isComplete
+          ? resolve({kind: 'whole', body: Buffer.concat(chunks)})
+          : fail('the answer broke off'),
+      );
+    });
+    response.on('error', error => fail(error.message));
+    response.on('close', () => {
+      if (!hasEnded) {
+        fail('the connection closed');
+      }
+    });
   });
 }
--- a/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
+++ b/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
@@ -4,7 +4,7 @@
 import type {IncomingMessage} from 'node:http';
 
 import type {EndpointEntry} from '@briarpin/coordination';
-import type {BodyFraming, ResponseEnd} from '@briarpin/platform';
+import type {BodyFraming} from '@briarpin/platform';
 
 import {
   EventSplitter,
@@ -24,8 +24,9 @@
 export interface EndpointStreamOptions {
   readonly endpoint: EndpointEntry;
   readonly response: IncomingMessage;
-  /** How the body ended; valid after its last byte. */
-  readonly end: ResponseEnd;
+  readonly framing: BodyFraming;
+  /** Finds out, after the last byte of the body, whether it is complete. */
+  readonly confirmEnd: () => Promise<boolean>;
   /** Closes the connection to the endpoint. */
   readonly abort: () => void;
   /** Endpoint that stores a checkpoint of this run. */
@@ -50,6 +51,8 @@
   private idleTimer: NodeJS.Timeout | undefined;
   private resolveEnd: ((end: EndpointStreamEnd) => void) | undefined;
   private isStopped = false;
+  private hasEnded = false;
+  private eventCount = 0;
 
   /**
    * @param options - Source of the stream and handlers of its events
@@ -75,24 +78,23 @@
       };
       response.on('data', (chunk: Buffer) => this.handleChunk(chunk));
       response.on('end', () => {
-        this.resolveEnd?.(
-          this.options.end.isWhole()
-            ? {kind: 'complete', remainder: this.splitter.remainder}
-            : {kind: 'broken', reason: 'the stream broke off'},
-        );
+        this.hasEnded = true;
+        void this.classifyEnd().then(end => this.resolveEnd?.(end));
       });
       response.on('error', error =>
         this.resolveEnd?.({kind: 'broken', reason: error.message}),
       );
-      response.on('close', () =>
-        this.resolveEnd?.({kind: 'broken', reason: 'the connection closed'}),
-      );
+      response.on('close', () => {
+        if (!this.hasEnded) {
+          this.resolveEnd?.({kind: 'broken', reason: 'the connection closed'});
+        }
+      });
     });
   }
 
   /** What delimits the body of the response. */
   get framing(): BodyFraming {
-    return this.options.end.framing;
+    return this.options.framing;
   }
 
   /** Number of bytes received after the last complete event. */
@@ -107,12 +109,31 @@
     this.options.abort();
   }
 
+  /** Finds out whether the body that has ended is the whole stream. */
+  private async classifyEnd(): Promise<EndpointStreamEnd> {
+    const {response, framing, confirmEnd} = this.options;
+    const hasEvents = isEventStream(response);
+    if (hasEvents && this.splitter.isInsideEvent) {
+      return {kind: 'broken', reason: 'the stream ended inside an event'};
+    }
+    if (hasEvents && framing === 'connection' && this.eventCount === 0) {
+      return {
+        kind: 'broken',
+        reason: 'the stream ended before its first event',
+      };
+    }
+    return (await confirmEnd())
+      ? {kind: 'complete', remainder: this.splitter.remainder}
+      : {kind: 'broken', reason: 'the stream broke off'};
+  }
+
   private handleChunk(chunk: Buffer): void {
     if (this.isStopped) {
       return;
     }
     this.restartIdleTimer();
     for (const event of this.splitter.push(chunk)) {
+      this.eventCount += 1;
       const drained = this.options.onEvent(event);
       if (drained !== undefined) {
         const {response} = this.options;
@@ -138,3 +159,7 @@
     }, idleTimeoutMilliseconds);
   }
 }
+
+function isEventStream({headers}: IncomingMessage): boolean {
+  return headers['content-type']?.startsWith('text/event-stream') === true;
+}
--- a/packages/forwarding/src/event_splitter/event_splitter.test.ts
+++ b/packages/forwarding/src/event_splitter/event_splitter.test.ts
@@ -44,4 +44,33 @@
   it('returns no identifier for an event without one', () => {
     assert.deepEqual(split('data: a\n\n').events, [['data: a\n\n', undefined]]);
   });
+
+  it('tells an end inside an event from one between two', () => {
+    const isInsideEvent = (text: string) => {
+      const splitter = new EventSplitter();
+      splitter.push(Buffer.from(text));
+      return splitter.isInsideEvent;
+    };
+    const outside = [
+      '',
+      'data: a\n\n',
+      'data: a\r\n\r\n',
+      'data: a\r\rdata: b\r\r',
+      'data: a\n\n: comment\n',
+      'data: a\n\n: comm',
+    ];
+    const inside = [
+      'i',
+      'id: 1\n',
+      'data: a\r\n',
+      'data: a\r',
+      'data: a\n\nid: 2\ndata: b\n',
+      'data: a\n\n: comment\nid: 2',
+    ];
+    assert.deepEqual(outside.filter(isInsideEvent), []);
+    assert.deepEqual(
+      inside.filter(text => !isInsideEvent(text)),
+      [],
+    );
+  });
 });
--- a/packages/forwarding/src/event_splitter/event_splitter.ts
+++ b/packages/forwarding/src/event_splitter/event_splitter.ts
@@ -4,6 +4,12 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+/** Nothing but lines that are comments. */
+const COMMENTS_PATTERN = /^(?::[^\r\n]*(?:\r\n|\n|\r|$))*$/;
+
+/** A blank line at the end, whatever ends the lines. */
+const BLANK_LINE_END_PATTERN = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)$/;
+
 const ID_FIELD_PATTERN = /^id:[ ]?(.*)$/m;
 
 /** Unchanged bytes of an event, including the blank line that ends it. */
@@ -27,6 +33,12 @@
     return this.pending;
   }
 
+  /** True when the bytes after the last complete event belong to another one. */
+  get isInsideEvent(): boolean {
+    const text = this.pending.toString('latin1');
+    return !COMMENTS_PATTERN.test(text) && !BLANK_LINE_END_PATTERN.test(text);
+  }
+
   /**
    * Adds the next bytes of the stream.
    *
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -166,7 +166,7 @@
   attempt: AttemptResult,
   result: CallResult,
 ): void {
-  if (attempt.kind !== 'answered' || attempt.end.framing !== 'connection') {
+  if (attempt.kind !== 'answered' || attempt.framing !== 'connection') {
     return;
   }
   logger.info('unframed_answer_ended', {
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -16,7 +16,6 @@
 export * from './forwarding_gateway/forwarding_gateway.js';
 export * from './gateway_mesh/gateway_mesh.js';
 export * from './preconnecting_agent/preconnecting_agent.js';
-export * from './probe_listener/probe_listener.js';
 export * from './retry_budgets/retry_budgets.js';
 export * from './run_evacuation/run_evacuation.js';
 export * from './run_mover/run_mover.js';
--- a/packages/forwarding/src/run_mover/run_mover.ts
+++ b/packages/forwarding/src/run_mover/run_mover.ts
@@ -61,6 +61,8 @@
    * other runs.
    */
   private handedOverStream: MovingEndpointStream | undefined;
+  /** Endpoint stream whose run the engine has been requested to stop. */
+  private stoppingStream: MovingEndpointStream | undefined;
   /** The move in progress, or the one that stopped the run. */
   private move: Promise<MoveResult> | undefined;
 
@@ -83,6 +85,11 @@
     );
   }
 
+  /** True when the engine of a stream has been requested to stop its run. */
+  isStopping(stream: MovingEndpointStream): boolean {
+    return this.stoppingStream === stream;
+  }
+
   /**
    * Moves the run from an engine that is shutting down. Resolves when the link
    * of the engine is free for the copy of another run.
@@ -114,7 +121,10 @@
           this.chooseTarget(source, excluded, isOnlyRun),
       },
       context,
-      stopping.resolve,
+      () => {
+        this.stoppingStream = endpointStream;
+        stopping.resolve();
+      },
     );
     this.move = moving;
     const result = await Promise.race([
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -124,9 +124,11 @@
       const end = await stream.run();
       this.stream = undefined;
       this.logUnframedEnd(stream, end);
-      if (end.kind === 'complete') {
-        this.mover.discardMove();
-        this.context.quarantine.recordCompleted(this.exchange);
+      // An engine that stops a run for its move closes the stream in the same
+      // way as at its end.
+      const isAmbiguous =
+        stream.framing === 'connection' && this.mover.isStopping(stream);
+      if (end.kind === 'complete' && !isAmbiguous) {
         return this.complete(end.remainder);
       }
       if (this.exchange.signal.aborted) {
@@ -139,6 +141,9 @@
         opened = await this.resumeMovedRun(stream, moved);
         continue;
       }
+      if (end.kind === 'complete') {
+        return this.complete(end.remainder);
+      }
       this.recordInterrupted(stream.endpoint);
       opened = await this.resumeBrokenStream(stream, end);
     }
@@ -383,7 +388,8 @@
     const stream = new EndpointStream({
       endpoint,
       response: result.response,
-      end: result.end,
+      framing: result.framing,
+      confirmEnd: result.confirmEnd,
       abort: () => controller.abort(),
       checkpointHolder: holder,
       releaseLoad: countedWork.release,
@@ -396,6 +402,8 @@
   }
 
   private complete(remainder: Buffer): ExchangeResult {
+    this.mover.discardMove();
+    this.context.quarantine.recordCompleted(this.exchange);
     const reason =
       this.moveCount > 0 ? `moved ${this.moveCount} times` : undefined;
     return {...this.writer.complete(remainder), reason};
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -2,7 +2,9 @@
  * HTTP clients for the log and the membership list of the platform, and what
  * HTTP clients share.
  */
+export * from './confirm_response_end/confirm_response_end.js';
 export * from './http_log/http_log.js';
+export * from './probe_listener/probe_listener.js';
 export * from './read_members/read_members.js';
 export * from './send_http/send_http.js';
 export * from './track_response_end/track_response_end.js';
--- a/packages/forwarding/src/probe_listener/probe_listener.ts
+++ b/packages/platform/src/probe_listener/probe_listener.ts
@@ -3,11 +3,15 @@
  */
 import net from 'node:net';
 
-import type {EndpointAddress} from '../dialect/dialect.js';
-
 /** Time after which an address that does not respond is left undecided. */
 const PROBE_TIMEOUT_MILLISECONDS = 400;
 
+/** Address of a server. */
+export interface ListenerAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
 /** What a connection attempt shows about an address. */
 export type ListenerState = 'listening' | 'not_listening' | 'undecided';
 
@@ -21,7 +25,7 @@
 export function probeListener({
   host,
   port,
-}: EndpointAddress): Promise<ListenerState> {
+}: ListenerAddress): Promise<ListenerState> {
   return new Promise(resolve => {
     const socket = net.connect({host, port});
     const settle = (state: ListenerState) => {
