Reject broken answers without a length in every HTTP client

The same cause in the product's own gateway: sidecars, the log, the store and the control calls of engines read answers with sendHttp, which took every end of a connection for the end of the answer. A caller of a plain service got 200 and a body without its last byte after a reset.

sendHttp decides as the forwarding client does, with the same function. A broken answer is an error of the kind unknown, so that nothing is said not to have run.

A sound one without a length still arrives whole.

--- a/packages/platform/src/send_http/send_http.ts
+++ b/packages/platform/src/send_http/send_http.ts
@@ -5,6 +5,10 @@
 
 import {Result} from 'true-myth';
 
+import {confirmResponseEnd} from '../confirm_response_end/confirm_response_end.js';
+import {probeListener} from '../probe_listener/probe_listener.js';
+import {trackResponseEnd} from '../track_response_end/track_response_end.js';
+
 /** Error of a call without a usable response. */
 export interface HttpRequestError {
   /** `not_sent` only when no connection was established. */
@@ -75,7 +79,7 @@
     });
     request.on('error', fail);
     request.on('response', response => {
-      readBody(response).then(
+      readCompleteBody(response, options.url).then(
         body =>
           settle(
             Result.ok({
@@ -91,6 +95,26 @@
   });
 }
 
+/**
+ * Reads the body of a response.
+ *
+ * @throws Error when the body is incomplete
+ */
+async function readCompleteBody(
+  response: http.IncomingMessage,
+  {hostname, port}: URL,
+): Promise<Buffer> {
+  const end = trackResponseEnd(response);
+  const body = await readBody(response);
+  const hasCrashed = async () =>
+    (await probeListener({host: hostname, port: Number(port)})) ===
+    'not_listening';
+  if (!(await confirmResponseEnd(end, hasCrashed))) {
+    throw new Error('the answer broke off');
+  }
+  return body;
+}
+
 /** Reads a stream to its end and returns the concatenated chunks. */
 export async function readBody(stream: AsyncIterable<Buffer>): Promise<Buffer> {
   const chunks: Buffer[] = [];
