--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -22,6 +22,7 @@
 import type {EndpointClient} from '../endpoint_client/endpoint_client.js';
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
+import {listSharedParts} from '../list_shared_parts/list_shared_parts.js';
 import type {RetryBudgets} from '../retry_budgets/retry_budgets.js';
 import {
   sendErrorResponse,
@@ -220,6 +221,13 @@
   return sendExchangeError(exchange, context, {kind, reason});
 }
 
+/** Returns the shared parts of the prompt for a log line. */
+export function describeSharedParts({
+  metadata,
+}: Pick<Exchange, 'metadata'>): string | undefined {
+  return listSharedParts(metadata).join(',') || undefined;
+}
+
 /** Logs an attempt that got no usable response. */
 export function logFailedAttempt(
   exchange: Exchange,
@@ -230,6 +238,7 @@
   logger.warn('attempt_failed', {
     request: exchange.metadata.requestId,
     fingerprint: exchange.fingerprint(),
+    parts: describeSharedParts(exchange),
     route: exchange.route.name,
     endpoint,
     reason,
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -14,6 +14,7 @@
 import type {EvacuatedStream} from '../evacuator/evacuator.js';
 import {countEngineWork} from '../count_engine_work/count_engine_work.js';
 import {
+  describeSharedParts,
   failExchange,
   sendBufferedResponse,
   findUntriedEndpoints,
@@ -265,6 +266,7 @@
     this.context.logger.info('stream_broke', {
       request: this.exchange.metadata.requestId,
       fingerprint: this.exchange.fingerprint(),
+      parts: describeSharedParts(this.exchange),
       endpoint: stream.endpoint.id,
       reason,
       events: this.writer.sentEvents,
