--- a/packages/scheduling/src/find_culprit/find_culprit.ts
+++ b/packages/scheduling/src/find_culprit/find_culprit.ts
@@ -17,10 +17,10 @@
  * Finds a property of a request that has crashed endpoints.
  *
  * Whatever ran beside the cause of a crash has the crash in its history, and so
- * has each part of the same prompt. A property is therefore no cause if other
- * suspects, which the request does not have, explain all of its crashes. A
- * request that tells two suspects apart may thus run: it completes, and clears
- * the one, or crashes its endpoint, and confirms it.
+ * has each part of the same prompt. A property is therefore no cause if another
+ * suspect, which the request does not have, explains all of its crashes. A request
+ * that tells two suspects apart may thus run: it completes, and clears the one, or
+ * crashes its endpoint, and confirms it.
  *
  * @param own - Histories of the properties of the request
  * @param suspects - Histories of all properties with as many crashes as the limit
@@ -42,12 +42,12 @@
     return undefined;
   }
   const ownKeys = new Set(own.map(({key}) => key));
-  const explained = new Set(
-    suspects
-      .filter(({key}) => !ownKeys.has(key))
-      .flatMap(({crashes}) => [...crashes.keys()]),
-  );
-  return candidates.find(({crashes}) =>
-    [...crashes.keys()].some(crash => !explained.has(crash)),
+  const others = suspects.filter(({key}) => !ownKeys.has(key));
+  return candidates.find(
+    ({crashes}) => !others.some(other => includesAll(other.crashes, crashes)),
   );
 }
+
+function includesAll(crashes: CrashIds, included: CrashIds): boolean {
+  return [...included.keys()].every(crash => crashes.has(crash));
+}
