Send nothing to an endpoint for the time that it asks for

A pause is kept by endpoint beside the rate limits; an endpoint that is paused is no candidate. Where no other is left, the request is rejected at once with the time that is left, the largest of pause and rate limit. The pause is this gateway's alone, as the statement is.

--- a/packages/forwarding/src/dialect/dialect.ts
+++ b/packages/forwarding/src/dialect/dialect.ts
@@ -73,6 +73,13 @@
    * absent if it states no limit.
    */
   readonly requestsPerSecond?: number;
+  /** True when the endpoint states that it shuts down. */
+  readonly isLeaving: boolean;
+  /**
+   * Time for which the endpoint accepts no request from this gateway; absent if
+   * it states none.
+   */
+  readonly pauseMilliseconds?: number;
 }
 
 /** State that an engine reports on request. */
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -210,6 +210,9 @@
       request.destroy();
       return {kind: 'unknown', reason: 'an answer to another request'};
     }
+    if (metadata.pauseMilliseconds !== undefined) {
+      this.limits.recordPause(attempt.endpoint.id, metadata.pauseMilliseconds);
+    }
     if (metadata.isSigned || metadata.isNotRun) {
       this.limits.recordResponse(
         attempt.endpoint.id,
--- a/packages/forwarding/src/endpoint_limits/endpoint_limits.ts
+++ b/packages/forwarding/src/endpoint_limits/endpoint_limits.ts
@@ -1,11 +1,13 @@
 /**
- * Rate limits that endpoints state in their responses, kept by all gateways
- * together.
+ * Limits that endpoints state in their responses: rate limits, kept by all
+ * gateways together, and pauses of this gateway alone.
  */
 import type {EndpointLimit} from '@briarpin/messages';
 import {SharedRateLimit} from '@briarpin/scheduling';
 import type {EventLogger} from '@briarpin/telemetry';
 
+import {EndpointPauses} from '../endpoint_pauses/endpoint_pauses.js';
+
 /**
  * Time for which reports include a limit after it was last confirmed, or after
  * its end.
@@ -58,11 +60,14 @@
  */
 export class EndpointLimits {
   private readonly limits = new Map<string, KnownLimit>();
+  private readonly pauses: EndpointPauses;
 
   /**
    * @param options - Clock, random source, log and callback
    */
-  constructor(private readonly options: EndpointLimitsOptions) {}
+  constructor(private readonly options: EndpointLimitsOptions) {
+    this.pauses = new EndpointPauses(options.now);
+  }
 
   /**
    * Records what a response states about the limit of its endpoint.
@@ -79,6 +84,15 @@
     }
   }
 
+  /** Records that an endpoint accepts no request of this gateway for a time. */
+  recordPause(endpoint: string, milliseconds: number): void {
+    this.pauses.record(endpoint, milliseconds);
+    this.options.logger.info('endpoint_paused', {
+      endpoint,
+      milliseconds: Math.round(milliseconds),
+    });
+  }
+
   /** Counts a request that is sent to an endpoint. */
   recordRequest(endpointId: string): void {
     const limit = this.limits.get(endpointId);
@@ -94,6 +108,9 @@
 
   /** Returns whether an endpoint accepts another request now. */
   hasCapacity(endpointId: string): boolean {
+    if (this.pauses.computeWaitMilliseconds(endpointId) > 0) {
+      return false;
+    }
     const limit = this.limits.get(endpointId);
     return limit?.requestsPerSecond === undefined || limit.rate.hasCapacity();
   }
@@ -101,9 +118,11 @@
   /** Computes the milliseconds until an endpoint accepts another request. */
   computeWaitMilliseconds(endpointId: string): number {
     const limit = this.limits.get(endpointId);
-    return limit?.requestsPerSecond === undefined
-      ? 0
-      : limit.rate.computeWaitMilliseconds();
+    const rateWait =
+      limit?.requestsPerSecond === undefined
+        ? 0
+        : limit.rate.computeWaitMilliseconds();
+    return Math.max(rateWait, this.pauses.computeWaitMilliseconds(endpointId));
   }
 
   /** Returns the limits and this gateway's requests, for other gateways. */
@@ -149,9 +168,10 @@
     }
   }
 
-  /** Removes the limit of an endpoint that has left. */
+  /** Removes the limits of an endpoint that has left. */
   remove(endpointId: string): void {
     this.limits.delete(endpointId);
+    this.pauses.remove(endpointId);
   }
 
   private set(
