Drain an endpoint whose response says that it leaves

The gateway went by the entry in the store alone, which may come later or never.

A response to a request of this gateway marks that incarnation as draining, with a reason of its own; peers hear of it, and runs are moved, as after a notice in the store. The entry does not make it ready again; a restart does.

--- a/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
@@ -171,6 +171,17 @@
     });
   });
 
+  it('drains an endpoint whose response says so, until it restarts', () => {
+    const {registry, leavingEvents, readyIds} = createRegistry();
+    registry.put(createEntry('a', {sequence: 1}));
+    registry.markDrainingFromResponse({id: 'a', startedAt: 1});
+    registry.put(createEntry('a', {sequence: 2}));
+    assert.deepEqual(readyIds(), []);
+    assert.deepEqual(leavingEvents, ['a told_by_endpoint']);
+    registry.put(createEntry('a', {startedAt: 2}));
+    assert.deepEqual(readyIds(), ['a']);
+  });
+
   it('treats a restart under the same identifier as a new endpoint', () => {
     const {registry, leavingEvents, readyEvents} = createRegistry();
     registry.put(createEntry('a'));
--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -32,7 +32,11 @@
 
 /** Reason why an endpoint no longer receives work. */
 export type LeavingReason =
-  'draining' | 'entry_removed' | 'restarted' | 'told_by_peer';
+  | 'draining'
+  | 'entry_removed'
+  | 'restarted'
+  | 'told_by_endpoint'
+  | 'told_by_peer';
 
 /** Where an endpoint was first reported. */
 export type EntrySource = 'store' | 'peer';
@@ -174,7 +178,19 @@
   }
 
   /** Marks an incarnation that a peer reported as leaving as draining. */
-  markDrainingFromPeer({id, startedAt}: EndpointIncarnation): void {
+  markDrainingFromPeer(incarnation: EndpointIncarnation): void {
+    this.markDraining(incarnation, 'told_by_peer');
+  }
+
+  /** Marks an incarnation as draining that has said so in a response. */
+  markDrainingFromResponse(incarnation: EndpointIncarnation): void {
+    this.markDraining(incarnation, 'told_by_endpoint');
+  }
+
+  private markDraining(
+    {id, startedAt}: EndpointIncarnation,
+    reason: LeavingReason,
+  ): void {
     const entry = this.tracked.get(id)?.entry;
     if (
       entry === undefined ||
@@ -186,7 +202,7 @@
     const leaving: EndpointEntry = {...entry, state: 'draining'};
     this.tracked.set(id, {entry: leaving});
     this.readyByService.clear();
-    this.options.onLeaving(leaving, 'told_by_peer');
+    this.options.onLeaving(leaving, reason);
   }
 
   /**
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -308,9 +308,10 @@
   });
   return {
     dialect,
-    client: new EndpointClient(dialect, limits, endpoint =>
-      quarantine.hasCrashed(endpoint),
-    ),
+    client: new EndpointClient(dialect, limits, {
+      hasCrashed: endpoint => quarantine.hasCrashed(endpoint),
+      onLeaving: endpoint => endpoints.markDrainingFromResponse(endpoint),
+    }),
     limits,
     endpoints,
     quarantine,
@@ -383,7 +384,7 @@
   entry: EndpointEntry,
   reason: LeavingReason,
 ): void {
-  if (reason === 'draining') {
+  if (reason === 'draining' || reason === 'told_by_endpoint') {
     quarantine.recordShutdown(entry);
   } else if (reason !== 'told_by_peer') {
     quarantine.recordCrash(entry);
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -103,6 +103,14 @@
   }
 }
 
+/** Callbacks of {@link EndpointClient}. */
+export interface EndpointClientCallbacks {
+  /** Finds out whether an endpoint has ended without a shutdown notice. */
+  readonly hasCrashed: (endpoint: EndpointEntry) => Promise<boolean>;
+  /** Called for each response that states that its endpoint shuts down. */
+  readonly onLeaving: (endpoint: EndpointEntry) => void;
+}
+
 /** Sends attempts and manages the connections for them. */
 export class EndpointClient {
   private readonly pooledAgent = new GuardedAgent({
@@ -116,12 +124,12 @@
    * @param dialect - Parses the headers of responses
    * @param limits - Counts requests, and receives the limit that each response
    *   states
-   * @param hasCrashed - Finds out whether an endpoint has ended without notice
+   * @param callbacks - What else depends on responses
    */
   constructor(
     private readonly dialect: Dialect,
     private readonly limits: EndpointLimits,
-    private readonly hasCrashed: (endpoint: EndpointEntry) => Promise<boolean>,
+    private readonly callbacks: EndpointClientCallbacks,
   ) {}
 
   /**
@@ -210,6 +218,9 @@
       request.destroy();
       return {kind: 'unknown', reason: 'an answer to another request'};
     }
+    if (metadata.isLeaving) {
+      this.callbacks.onLeaving(attempt.endpoint);
+    }
     if (metadata.pauseMilliseconds !== undefined) {
       this.limits.recordPause(attempt.endpoint.id, metadata.pauseMilliseconds);
     }
@@ -234,7 +245,9 @@
       metadata,
       framing: end.framing,
       confirmEnd: () =>
-        confirmResponseEnd(end, () => this.hasCrashed(attempt.endpoint)),
+        confirmResponseEnd(end, () =>
+          this.callbacks.hasCrashed(attempt.endpoint),
+        ),
     };
   }
 }
