Log the software version of endpoints and the streams that callers take up

The adapter reads Version of an entry and Resumes of a request; reports of gateways carry the version of an endpoint that has just arrived. The lines placed, run_copied, stream_broke, stream_continued and endpoint_ready name software versions, the line request names the attempt whose stream the caller takes up.

Before: no line told whether a run that went on did so at its own version.

--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -19,6 +19,8 @@
   readonly host: string;
   readonly port: number;
   readonly availabilityZone: string;
+  /** Version of its software; versions have no order. */
+  readonly softwareVersion?: string;
   readonly state: 'ready' | 'draining';
   /** Maximum number of concurrent requests. */
   readonly slots: number;
--- a/packages/daemon/src/machine/endpoint_messages.ts
+++ b/packages/daemon/src/machine/endpoint_messages.ts
@@ -7,6 +7,9 @@
 /** Value in a report for the start time of an endpoint that has none. */
 const UNKNOWN_START_TIME = 0;
 
+/** Value in a report for the software version of an endpoint that has none. */
+const UNKNOWN_SOFTWARE_VERSION = '';
+
 /** Converts an incarnation of an endpoint that accepts no more work. */
 export function toLeavingEndpoint({
   id,
@@ -40,6 +43,7 @@
     slots: entry.slots,
     coldMilliseconds: Math.round(entry.coldMilliseconds),
     sequence: entry.sequence ?? 0,
+    softwareVersion: entry.softwareVersion ?? UNKNOWN_SOFTWARE_VERSION,
   };
 }
 
@@ -56,5 +60,9 @@
     slots,
     coldMilliseconds: arrived.coldMilliseconds,
     sequence: arrived.sequence,
+    softwareVersion:
+      arrived.softwareVersion === UNKNOWN_SOFTWARE_VERSION
+        ? undefined
+        : arrived.softwareVersion,
   };
 }
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -152,6 +152,7 @@
         endpoint: entry.id,
         service: entry.service,
         availability_zone: entry.availabilityZone,
+        software: entry.softwareVersion,
         address: `${entry.host}:${entry.port}`,
         cold: entry.coldMilliseconds,
         source,
--- a/packages/forwarding/src/dialect/dialect.ts
+++ b/packages/forwarding/src/dialect/dialect.ts
@@ -17,6 +17,11 @@
   readonly requestId?: string;
   /** Time that the caller waits, from the arrival of the request. */
   readonly deadlineMilliseconds?: number;
+  /**
+   * The caller's attempt that received the first event of the stream that this
+   * request takes up; absent when it starts a stream.
+   */
+  readonly resumedRequestId?: string;
   /** API key of an organisation. */
   readonly apiKey?: string;
   readonly promptTokens: number;
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.test.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.test.ts
@@ -22,6 +22,7 @@
   coldMilliseconds: 0,
   startedAt: 6,
   sequence: 1,
+  softwareVersion: 'v1',
 };
 
 const controllers: AbortController[] = [];
--- a/packages/forwarding/src/record_exchange/record_exchange.ts
+++ b/packages/forwarding/src/record_exchange/record_exchange.ts
@@ -50,6 +50,7 @@
   const level = outcome === 'done' ? 'info' : 'warn';
   logger[level]('request', {
     request: metadata.requestId,
+    resumes: metadata.resumedRequestId,
     organisation: organisation?.name,
     route: route.name,
     configuration: configuration?.version,
--- a/packages/forwarding/src/run_evacuation/run_evacuation.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.ts
@@ -184,6 +184,8 @@
     request: requestId,
     source: source.id,
     target: target.id,
+    source_software: source.softwareVersion,
+    target_software: target.softwareVersion,
     same_zone: target.availabilityZone === source.availabilityZone,
     stop,
     outcome: outcome.kind,
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -234,6 +234,7 @@
     context.logger.info('placed', {
       request: exchange.metadata.requestId,
       endpoint: engine.id,
+      software: engine.entry.softwareVersion,
       open: engine.openRequests,
       memory: computeMemoryShare(exchange, engine).toFixed(2),
       wait: Math.round(engine.waitMilliseconds),
@@ -268,6 +269,7 @@
       fingerprint: this.exchange.fingerprint(),
       parts: describeSharedParts(this.exchange),
       endpoint: stream.endpoint.id,
+      software: stream.endpoint.softwareVersion,
       reason,
       events: this.writer.sentEvents,
       checkpoint: stream.checkpointHolder?.id,
@@ -314,6 +316,7 @@
     this.context.logger.info('stream_continued', {
       request: this.exchange.metadata.requestId,
       endpoint: endpoint.id,
+      software: endpoint.softwareVersion,
       outcome: opened.kind,
       events: this.writer.sentEvents,
       reason: opened.kind === 'failed' ? opened.reason : undefined,
