--- a/packages/forwarding/src/dialect/dialect.ts
+++ b/packages/forwarding/src/dialect/dialect.ts
@@ -22,6 +22,8 @@
    * request takes up; absent when it starts a stream.
    */
   readonly resumedRequestId?: string;
+  /** Newest event that the caller has of the stream that it takes up. */
+  readonly lastEventId?: string;
   /** API key of an organisation. */
   readonly apiKey?: string;
   readonly promptTokens: number;
--- a/packages/forwarding/src/record_exchange/record_exchange.ts
+++ b/packages/forwarding/src/record_exchange/record_exchange.ts
@@ -51,6 +51,7 @@
   logger[level]('request', {
     request: metadata.requestId,
     resumes: metadata.resumedRequestId,
+    after_event: metadata.lastEventId,
     organisation: organisation?.name,
     route: route.name,
     configuration: configuration?.version,
