Continue streams only at the software version where they began

What callers saw: streams whose second part comes from another version of the engine software, in one answer or over two attempts.

Cause: the version of an entry was not read, so that no choice of an engine could keep to it; and a gateway knew nothing of streams that had begun at another one. Ruled out: only callers that come back (a stream that never left its gateway changed its version); only engines that change their version under their name.

Change: the first event pins an exchange to the service and the software version of its engine. Candidates of resumptions, targets of copies and holders of checkpoints are those of that version. An engine that came back under its name with other software is noticed before its first event is passed on. Where streams began is kept at the gateway, told to the others in one datagram before the caller gets the first event (to all, or to four at the target size), told again to gateways that start, and asked for when unknown. Nothing is kept in the store. A stream of unknown origin is rejected as not run. A stream that its caller does not name goes on only where the service had a single version for longer than the stream can be old. Entries without a version name no endpoint to use.

--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -83,3 +83,12 @@
  * and one may be located elsewhere.
  */
 export const READERS_PER_TOPIC = 3;
+
+/** Streams in a table of origins: about 20 MB. */
+export const MAXIMUM_STREAM_ORIGINS = 100_000;
+
+/** Time between two visits of all origins to forget the old ones. */
+export const STREAM_ORIGIN_SWEEP_MILLISECONDS = 5_000;
+
+/** Time for which software versions that no endpoint has are remembered. */
+export const SOFTWARE_HISTORY_MILLISECONDS = 120_000;
--- a/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
@@ -19,6 +19,7 @@
     availabilityZone: 'a',
     state: 'ready' as const,
     slots: 4,
+    softwareVersion: 'v1',
     coldMilliseconds: 0,
     startedAt: 1,
     ...change,
--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -7,6 +7,7 @@
   EXPIRED_ENTRY_GRACE_MILLISECONDS,
   UNCONFIRMED_ENTRY_LIFETIME_MILLISECONDS,
 } from '../constants.js';
+import {SoftwareVersionHistory} from '../software_version_history/software_version_history.js';
 
 /** Entry that an endpoint publishes about itself. */
 export interface EndpointEntry {
@@ -20,7 +21,7 @@
   readonly port: number;
   readonly availabilityZone: string;
   /** Version of its software; versions have no order. */
-  readonly softwareVersion?: string;
+  readonly softwareVersion: string;
   readonly state: 'ready' | 'draining';
   /** Maximum number of concurrent requests. */
   readonly slots: number;
@@ -91,12 +92,14 @@
   private readonly readyByService = new Map<string, readonly EndpointEntry[]>();
   private lastResponseAt: number;
   private graceUntil = Number.NEGATIVE_INFINITY;
+  private readonly softwareHistory: SoftwareVersionHistory;
 
   /**
    * @param options - Clock, heartbeat interval and callbacks
    */
   constructor(private readonly options: EndpointRegistryOptions) {
     this.lastResponseAt = options.now();
+    this.softwareHistory = new SoftwareVersionHistory(options.now);
   }
 
   /** Records a store response; must be called before applying its records. */
@@ -129,6 +132,7 @@
       }
     }
     entries.forEach(entry => this.put(entry));
+    this.softwareHistory.start();
   }
 
   /**
@@ -148,9 +152,11 @@
       return;
     }
     this.tracked.set(entry.id, {entry});
+    this.recordSoftware(entry);
     this.removed.delete(entry.id);
     this.readyByService.clear();
     if (before !== undefined && !isSameIncarnation) {
+      this.recordSoftware(before);
       this.options.onLeaving(before, 'restarted');
     }
     if (entry.state === 'draining' && before?.state !== 'draining') {
@@ -175,6 +181,7 @@
     const unconfirmedUntil =
       this.options.now() + UNCONFIRMED_ENTRY_LIFETIME_MILLISECONDS;
     this.tracked.set(entry.id, {entry, unconfirmedUntil});
+    this.recordSoftware(entry);
     this.readyByService.clear();
     this.options.onReady?.(entry, 'peer');
   }
@@ -230,6 +237,7 @@
    */
   evictExpired(): void {
     const now = this.options.now();
+    this.softwareHistory.forgetOld();
     for (const [id, {removedAt}] of this.removed) {
       if (now - removedAt > REMOVED_ENTRY_RETENTION_MILLISECONDS) {
         this.removed.delete(id);
@@ -256,20 +264,62 @@
     return this.tracked.get(id)?.entry;
   }
 
+  /**
+   * Returns whether an endpoint has come back under its name with other
+   * software since the entry was read.
+   */
+  hasOtherSoftware({id, startedAt, softwareVersion}: EndpointEntry): boolean {
+    const current = this.find(id);
+    return (
+      current !== undefined &&
+      current.startedAt !== startedAt &&
+      current.softwareVersion !== softwareVersion
+    );
+  }
+
+  /**
+   * Finds the only software version that a service has had for some time.
+   *
+   * @returns The version; undefined if it had several or too little is known
+   */
+  findOnlySoftwareVersion(
+    service: string,
+    milliseconds: number,
+  ): string | undefined {
+    this.findAll(service).forEach(entry => this.recordSoftware(entry));
+    return this.softwareHistory.findOnly(service, milliseconds);
+  }
+
   /** Finds the endpoints of a service that accept new work. */
   findReady(service: string): readonly EndpointEntry[] {
     const cached = this.readyByService.get(service);
     if (cached !== undefined) {
       return cached;
     }
-    const entries = [...this.tracked.values()]
-      .map(endpoint => endpoint.entry)
-      .filter(entry => entry.service === service && entry.state === 'ready');
+    const entries = this.findAll(service).filter(
+      entry => entry.state === 'ready',
+    );
     this.readyByService.set(service, entries);
     return entries;
   }
 
+  /** Finds the endpoints of a service that only finish their work. */
+  findDraining(service: string): readonly EndpointEntry[] {
+    return this.findAll(service).filter(entry => entry.state === 'draining');
+  }
+
+  private findAll(service: string): EndpointEntry[] {
+    return [...this.tracked.values()]
+      .map(endpoint => endpoint.entry)
+      .filter(entry => entry.service === service);
+  }
+
+  private recordSoftware({service, softwareVersion}: EndpointEntry): void {
+    this.softwareHistory.record(service, softwareVersion);
+  }
+
   private evict(entry: EndpointEntry): void {
+    this.recordSoftware(entry);
     this.tracked.delete(entry.id);
     this.removed.set(entry.id, {entry, removedAt: this.options.now()});
     this.readyByService.clear();
--- /dev/null
+++ b/packages/coordination/src/select_keepers/select_keepers.ts
@@ -0,0 +1,54 @@
+/**
+ * Selects the processes that keep a record on behalf of all.
+ */
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+const MIX_FACTORS = [0x85ebca6b, 0xc2b2ae35] as const;
+
+/**
+ * Selects the processes that keep the record of a key, by rendezvous hashing
+ * with a hash that is cheap enough for each request. Processes that know of the
+ * same others select the same ones; one more or less in their views changes at
+ * most one of the selected.
+ *
+ * @param processes - Names of the processes
+ * @param key - Key of the record
+ * @param count - Processes to select
+ * @returns Names of the selected processes, best first; all if there are fewer
+ *
+ * @example
+ * selectKeepers(['front-1', 'front-2', 'front-3'], 'request-7', 2);
+ */
+export function selectKeepers(
+  processes: readonly string[],
+  key: string,
+  count: number,
+): readonly string[] {
+  if (processes.length <= count) {
+    return processes;
+  }
+  const keyHash = hash(key);
+  return processes
+    .map(name => ({name, score: mix(keyHash ^ hash(name))}))
+    .sort((left, right) => right.score - left.score)
+    .slice(0, count)
+    .map(({name}) => name);
+}
+
+function hash(text: string): number {
+  let value = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    value = Math.imul(value ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  return value;
+}
+
+/** Spreads the bits of a hash over the whole number. */
+function mix(value: number): number {
+  let mixed = value ^ (value >>> 16);
+  for (const factor of MIX_FACTORS) {
+    mixed = Math.imul(mixed, factor);
+    mixed ^= mixed >>> 13;
+  }
+  return mixed >>> 0;
+}
--- /dev/null
+++ b/packages/coordination/src/software_version_history/software_version_history.test.ts
@@ -0,0 +1,55 @@
+/**
+ * Tests the history of software versions: guards against taking the only version
+ * of today for the only one of the time in which a stream began.
+ */
+import assert from 'node:assert/strict';
+import {beforeEach, describe, it} from 'node:test';
+
+import {SoftwareVersionHistory} from './software_version_history.js';
+
+describe('SoftwareVersionHistory', () => {
+  let now: number;
+  let history: SoftwareVersionHistory;
+
+  beforeEach(() => {
+    now = 0;
+    history = new SoftwareVersionHistory(() => now);
+  });
+
+  it('finds the only version of a service', () => {
+    history.start();
+    now = 5_000;
+    history.record('text', 'v1');
+    history.record('desk', 'v7');
+    assert.equal(history.findOnly('text', 5_000), 'v1');
+  });
+
+  it('finds none before it reaches back far enough', () => {
+    history.record('text', 'v1');
+    assert.equal(history.findOnly('text', 0), undefined);
+    history.start();
+    now = 4_999;
+    assert.equal(history.findOnly('text', 5_000), undefined);
+    history.record('text', 'v1');
+    assert.equal(history.findOnly('text', 200_000), undefined);
+  });
+
+  it('finds none while another version was seen lately', () => {
+    history.start();
+    history.record('text', 'v1');
+    now = 6_000;
+    history.record('text', 'v1.1');
+    assert.equal(history.findOnly('text', 6_000), undefined);
+    now = 7_000;
+    assert.equal(history.findOnly('text', 6_000), 'v1.1');
+  });
+
+  it('forgets what is too old', () => {
+    history.start();
+    history.record('text', 'v1');
+    now = 200_000;
+    history.forgetOld();
+    history.record('text', 'v1.1');
+    assert.equal(history.findOnly('text', 100_000), 'v1.1');
+  });
+});
--- a/packages/daemon/src/machine/endpoint_messages.ts
+++ b/packages/daemon/src/machine/endpoint_messages.ts
@@ -7,7 +7,7 @@
 /** Value in a report for the start time of an endpoint that has none. */
 const UNKNOWN_START_TIME = 0;
 
-/** Value in a report for the software version of an endpoint that has none. */
+/** Value in a report of a gateway that reads no software versions. */
 const UNKNOWN_SOFTWARE_VERSION = '';
 
 /** Converts an incarnation of an endpoint that accepts no more work. */
@@ -43,13 +43,23 @@
     slots: entry.slots,
     coldMilliseconds: Math.round(entry.coldMilliseconds),
     sequence: entry.sequence ?? 0,
-    softwareVersion: entry.softwareVersion ?? UNKNOWN_SOFTWARE_VERSION,
+    softwareVersion: entry.softwareVersion,
   };
 }
 
-/** Restores the entry of an endpoint that accepts work. */
-export function fromArrivedEndpoint(arrived: ArrivedEndpoint): EndpointEntry {
-  const {service, host, port, availabilityZone, slots} = arrived;
+/**
+ * Restores the entry of an endpoint that accepts work.
+ *
+ * @returns The entry; undefined if it names no software version
+ */
+export function fromArrivedEndpoint(
+  arrived: ArrivedEndpoint,
+): EndpointEntry | undefined {
+  const {service, host, port, availabilityZone, slots, softwareVersion} =
+    arrived;
+  if (softwareVersion === UNKNOWN_SOFTWARE_VERSION) {
+    return undefined;
+  }
   return {
     ...fromLeavingEndpoint(arrived),
     service,
@@ -60,9 +70,6 @@
     slots,
     coldMilliseconds: arrived.coldMilliseconds,
     sequence: arrived.sequence,
-    softwareVersion:
-      arrived.softwareVersion === UNKNOWN_SOFTWARE_VERSION
-        ? undefined
-        : arrived.softwareVersion,
+    softwareVersion,
   };
 }
--- a/packages/daemon/src/machine/exchange_reports.ts
+++ b/packages/daemon/src/machine/exchange_reports.ts
@@ -85,9 +85,10 @@
   report.suspicions.forEach(suspicion =>
     suspicionTable.apply(fromReportedSuspicion(suspicion)),
   );
-  report.arrived.forEach(arrived =>
-    endpoints.addFromPeer(fromArrivedEndpoint(arrived)),
-  );
+  report.arrived
+    .map(fromArrivedEndpoint)
+    .filter(entry => entry !== undefined)
+    .forEach(entry => endpoints.addFromPeer(entry));
   report.leaving.forEach(leaving =>
     endpoints.markDrainingFromPeer(fromLeavingEndpoint(leaving)),
   );
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -22,7 +22,9 @@
   EvacuationTurn,
   GatewayMesh,
   RetryBudgets,
+  StreamOrigins,
   type ForwardingContext,
+  type OriginTransport,
 } from '@briarpin/forwarding';
 import {
   ENDPOINTS_TOPIC,
@@ -167,6 +169,7 @@
       state.recentSuspicions.add(record);
       mesh.broadcast();
     },
+    originTransport: () => mesh,
   });
   const gateway = createGateway(settings, components, state);
   const mesh = createMesh(settings, components, gateway, state);
@@ -274,13 +277,20 @@
   readonly onReady: (entry: EndpointEntry, source: EntrySource) => void;
   readonly onWorkStarted: () => void;
   readonly onSuspicion: (record: SuspicionRecord) => void;
+  readonly originTransport: () => OriginTransport;
 }
 
 function createForwardingContext(
   settings: InstanceSettings,
   {logger, histograms, metrics}: Telemetry,
   state: Pick<MachineState, 'isLeaving' | 'suspicionTable'>,
-  {onLeaving, onReady, onWorkStarted, onSuspicion}: ForwardingCallbacks,
+  {
+    onLeaving,
+    onReady,
+    onWorkStarted,
+    onSuspicion,
+    originTransport,
+  }: ForwardingCallbacks,
 ): ForwardingContext {
   const clock = MONOTONIC_CLOCK;
   const dialect = new RequestDialect();
@@ -316,6 +326,11 @@
     limits,
     endpoints,
     quarantine,
+    streamOrigins: new StreamOrigins({
+      clock,
+      logger,
+      transport: originTransport,
+    }),
     loads: new EndpointLoads({
       now: () => clock.now(),
       roundTripMilliseconds: entry =>
@@ -371,7 +386,14 @@
     logger,
     startedAt: Date.now(),
     createReport: () => createReport(gateway, components, state, clock.now()),
-    onReport: report => applyReport(report, components, mesh, state),
+    onReport: report => {
+      applyReport(report, components, mesh, state);
+      if (report.isFirst) {
+        components.streamOrigins.informNewGateway(report.gateway);
+      }
+    },
+    onMessage: (message, reply) =>
+      components.streamOrigins.receive(message, reply),
   });
   return mesh;
 }
--- a/packages/forwarding/src/choose_placement/choose_placement.ts
+++ b/packages/forwarding/src/choose_placement/choose_placement.ts
@@ -119,9 +119,10 @@
 }
 
 /**
- * Selects the engine to which a generation's memory is copied: one with free
- * capacity in the availability zone of the source, else one with free capacity
- * in its region, else one without free capacity in the zone or the region.
+ * Selects the engine to which a generation's memory is copied, among those with
+ * the software version of its source: one with free capacity in the availability
+ * zone of the source, else one with free capacity in its region, else one without
+ * free capacity in the zone or the region.
  * A copy to another region takes about as long as the shutdown notice of an
  * engine and delays the copies queued behind it, so another region is used
  * only when its own region has no candidate and the options allow it.
@@ -142,8 +143,11 @@
   },
 ): EndpointEntry | undefined {
   const neededTokens = estimateMemoryTokens(exchange);
+  const compatible = options.candidates.filter(
+    ({softwareVersion}) => softwareVersion === source.softwareVersion,
+  );
   const states = context.loads
-    .computeCandidates(options.candidates, exchange.service)
+    .computeCandidates(compatible, exchange.service)
     .map(state => ({...state, roundTripMilliseconds: 0}));
   const {availabilityZone} = source;
   const region = context.regionOf(availabilityZone);
--- a/packages/forwarding/src/crash_quarantine/crash_quarantine.test.ts
+++ b/packages/forwarding/src/crash_quarantine/crash_quarantine.test.ts
@@ -34,6 +34,7 @@
     availabilityZone: 'east-1',
     state: 'ready',
     slots: 1,
+    softwareVersion: 'v1',
     coldMilliseconds: 0,
     startedAt: 1,
   };
--- /dev/null
+++ b/packages/forwarding/src/create_exchange/create_exchange.ts
@@ -0,0 +1,66 @@
+/**
+ * Creates the exchange of an admitted request.
+ */
+import type {Clock} from '@briarpin/coordination';
+
+import type {Admission} from '../admit_request/admit_request.js';
+import {computeRequestFingerprint} from '../compute_request_fingerprint/compute_request_fingerprint.js';
+import type {Exchange} from '../exchange/exchange.js';
+
+/** What a gateway has received of a request. */
+type ReceivedRequest = Pick<
+  Exchange,
+  'request' | 'response' | 'metadata' | 'body' | 'arrivedAt' | 'origin'
+>;
+
+/**
+ * Creates the exchange of a request and starts the timer of its deadline.
+ *
+ * @param received - The request, and where its stream began
+ * @param admission - Route, service and organisation of the request
+ * @param clock - Clock of the deadline
+ */
+export function createExchange(
+  received: ReceivedRequest,
+  {route, service, organisation}: Omit<Admission & {kind: 'admitted'}, 'kind'>,
+  clock: Clock,
+): Exchange {
+  const allowedMilliseconds = Math.min(
+    route.timeoutMilliseconds,
+    received.metadata.deadlineMilliseconds ?? Number.POSITIVE_INFINITY,
+  );
+  const expiresAt = received.arrivedAt + allowedMilliseconds;
+  const controller = new AbortController();
+  const timer = setTimeout(
+    () => controller.abort(),
+    Math.max(0, expiresAt - clock.now()),
+  );
+  received.response.once('close', () => {
+    clearTimeout(timer);
+    controller.abort();
+  });
+  const {signal} = controller;
+  const fingerprint = once(() =>
+    computeRequestFingerprint({
+      organisation: organisation?.name,
+      path: received.request.url ?? '',
+      body: received.body,
+    }),
+  );
+  return {
+    ...received,
+    fingerprint,
+    route,
+    service,
+    organisation,
+    expiresAt,
+    signal,
+    triedEndpointIds: [],
+  };
+}
+
+/** Returns a function that computes a value on its first call and keeps it. */
+function once<T>(compute: () => T): () => T {
+  let value: {readonly computed: T} | undefined;
+  return () => (value ??= {computed: compute()}).computed;
+}
--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.test.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.test.ts
@@ -35,6 +35,7 @@
     availabilityZone,
     state: 'ready',
     slots: 8,
+    softwareVersion: 'v1',
     coldMilliseconds: 0,
   };
 }
--- a/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
+++ b/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
@@ -97,6 +97,11 @@
     return this.options.framing;
   }
 
+  /** Number of complete events received. */
+  get receivedEvents(): number {
+    return this.eventCount;
+  }
+
   /** Number of bytes received after the last complete event. */
   get unfinishedBytes(): number {
     return this.splitter.remainder.length;
@@ -133,6 +138,9 @@
     }
     this.restartIdleTimer();
     for (const event of this.splitter.push(chunk)) {
+      if (this.isStopped) {
+        return;
+      }
       this.eventCount += 1;
       const drained = this.options.onEvent(event);
       if (drained !== undefined) {
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -10,6 +10,7 @@
   Route,
   RoutedOrganisation,
   RoutedService,
+  StreamOrigin,
 } from '@briarpin/coordination';
 import type {
   EventLogger,
@@ -24,6 +25,7 @@
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
 import {listSharedParts} from '../list_shared_parts/list_shared_parts.js';
 import type {RetryBudgets} from '../retry_budgets/retry_budgets.js';
+import type {StreamOrigins} from '../stream_origins/stream_origins.js';
 import {
   sendErrorResponse,
   type ErrorResponse,
@@ -40,6 +42,8 @@
   /** Retry budgets by service. */
   readonly retryBudgets: RetryBudgets;
   readonly quarantine: CrashQuarantine;
+  /** Software versions at which the streams of all gateways began. */
+  readonly streamOrigins: StreamOrigins;
   /** Region of an availability zone; undefined if it is not known. */
   readonly regionOf: (availabilityZone: string) => string | undefined;
   readonly clock: Clock;
@@ -72,6 +76,11 @@
   readonly signal: AbortSignal;
   /** Endpoints that have been attempted, in order. */
   readonly triedEndpointIds: string[];
+  /**
+   * Where the stream began; absent until its first event. Once it is set, no
+   * other software version may run the request.
+   */
+  origin?: StreamOrigin;
 }
 
 /** How a request ended, for logs, metrics and histograms. */
@@ -91,14 +100,36 @@
   return Math.max(0, exchange.expiresAt - clock.now());
 }
 
-/** Returns the ready endpoints of the service that are not at their limit. */
+/**
+ * Returns the ready endpoints of the service at which the request may run: all,
+ * or those of the software version at which its stream began.
+ */
+function findEligibleEndpoints(
+  {service, origin}: Pick<Exchange, 'service' | 'origin'>,
+  {endpoints}: Pick<ForwardingContext, 'endpoints'>,
+): readonly EndpointEntry[] {
+  const ready = endpoints.findReady(service.name);
+  return origin === undefined
+    ? ready
+    : ready.filter(entry => isAtOrigin(entry, origin));
+}
+
+/** Returns whether an endpoint runs the software at which a stream began. */
+function isAtOrigin(entry: EndpointEntry, origin: StreamOrigin): boolean {
+  return (
+    entry.service === origin.service &&
+    entry.softwareVersion === origin.softwareVersion
+  );
+}
+
+/** Returns the endpoints that may run the request and are not at their limit. */
 export function findAcceptingEndpoints(
-  {service}: Pick<Exchange, 'service'>,
-  {endpoints, limits}: ForwardingContext,
+  exchange: Pick<Exchange, 'service' | 'origin'>,
+  context: Pick<ForwardingContext, 'endpoints' | 'limits'>,
 ): EndpointEntry[] {
-  return endpoints
-    .findReady(service.name)
-    .filter(entry => limits.hasCapacity(entry.id));
+  return findEligibleEndpoints(exchange, context).filter(entry =>
+    context.limits.hasCapacity(entry.id),
+  );
 }
 
 /** Returns the endpoints that accept the request and were not attempted yet. */
@@ -121,13 +152,13 @@
  * @returns Milliseconds until the first endpoint is expected to accept it
  */
 export function computeRetryAfterMilliseconds(
-  {service}: Exchange,
-  {endpoints, limits}: ForwardingContext,
+  exchange: Exchange,
+  context: ForwardingContext,
   overloadMilliseconds: number,
 ): number {
-  const waits = endpoints
-    .findReady(service.name)
-    .map(({id}) => limits.computeWaitMilliseconds(id));
+  const waits = findEligibleEndpoints(exchange, context).map(({id}) =>
+    context.limits.computeWaitMilliseconds(id),
+  );
   const shortestWait = waits.length === 0 ? 0 : Math.min(...waits);
   return Math.max(overloadMilliseconds, shortestWait);
 }
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -14,7 +14,7 @@
   type AdmissionBounds,
   type ConfigurationSnapshot,
 } from '../admit_request/admit_request.js';
-import {computeRequestFingerprint} from '../compute_request_fingerprint/compute_request_fingerprint.js';
+import {createExchange} from '../create_exchange/create_exchange.js';
 import {Evacuator} from '../evacuator/evacuator.js';
 import type {RequestMetadata} from '../dialect/dialect.js';
 import {
@@ -31,6 +31,7 @@
 } from '../error_response/error_response.js';
 import {readBody} from '../read_body/read_body.js';
 import {recordExchange} from '../record_exchange/record_exchange.js';
+import {resolveStreamOrigin} from '../resolve_stream_origin/resolve_stream_origin.js';
 import {StreamSession} from '../stream_session/stream_session.js';
 
 /**
@@ -187,9 +188,23 @@
       return;
     }
     const {body} = read;
-    const exchange = this.createExchange(
-      {request, response, metadata, body, arrivedAt},
-      admission,
+    const resolution = await resolveStreamOrigin(metadata, admission, {
+      ...context,
+      findService: name =>
+        this.options.configurationSnapshot().configuration?.services.get(name),
+    });
+    if (resolution.kind === 'rejected') {
+      this.rejectRequest(response, metadata, resolution.errorResponse);
+      return;
+    }
+    if (response.destroyed) {
+      return;
+    }
+    const {service, origin} = resolution;
+    const exchange = createExchange(
+      {request, response, metadata, body, arrivedAt, origin},
+      {...admission, service},
+      context.clock,
     );
     const result = await this.forward(exchange);
     recordExchange(
@@ -234,48 +249,6 @@
     return admission;
   }
 
-  private createExchange(
-    received: Pick<
-      Exchange,
-      'request' | 'response' | 'metadata' | 'body' | 'arrivedAt'
-    >,
-    {route, service, organisation}: Admission & {kind: 'admitted'},
-  ): Exchange {
-    const {clock} = this.context;
-    const allowedMilliseconds = Math.min(
-      route.timeoutMilliseconds,
-      received.metadata.deadlineMilliseconds ?? Number.POSITIVE_INFINITY,
-    );
-    const expiresAt = received.arrivedAt + allowedMilliseconds;
-    const controller = new AbortController();
-    const timer = setTimeout(
-      () => controller.abort(),
-      Math.max(0, expiresAt - clock.now()),
-    );
-    received.response.once('close', () => {
-      clearTimeout(timer);
-      controller.abort();
-    });
-    const {signal} = controller;
-    const fingerprint = once(() =>
-      computeRequestFingerprint({
-        organisation: organisation?.name,
-        path: received.request.url ?? '',
-        body: received.body,
-      }),
-    );
-    return {
-      ...received,
-      fingerprint,
-      route,
-      service,
-      organisation,
-      expiresAt,
-      signal,
-      triedEndpointIds: [],
-    };
-  }
-
   private async forward(exchange: Exchange): Promise<ExchangeResult> {
     const refusal = this.context.quarantine.admit(exchange);
     if (refusal !== undefined) {
@@ -318,9 +291,3 @@
     });
   }
 }
-
-/** Returns a function that computes a value on its first call and keeps it. */
-function once<T>(compute: () => T): () => T {
-  let value: {readonly computed: T} | undefined;
-  return () => (value ??= {computed: compute()}).computed;
-}
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
@@ -70,8 +70,24 @@
   readonly createReport: () => LocalReport;
   /** Called for each report; it replaces the sender's earlier one. */
   readonly onReport: (report: ReceivedReport) => void;
+  /**
+   * Called for each message that another gateway has sent to this one alone.
+   *
+   * @param message - The message
+   * @param reply - Sends a message back
+   */
+  readonly onMessage?: (
+    message: Buffer,
+    reply: (message: Uint8Array) => void,
+  ) => void;
 }
 
+/**
+ * First byte of a datagram with a message instead of a report. No report begins
+ * with it, and gateways without messages discard such a datagram as malformed.
+ */
+const MESSAGE_MARK = Buffer.from([0x07]);
+
 /** Minimum interval between periodic reports. */
 const MINIMUM_INTERVAL_MILLISECONDS = 150;
 
@@ -112,9 +128,16 @@
    * @param options - Identity and address of this gateway, and its callbacks
    */
   constructor(private readonly options: GatewayMeshOptions) {
-    this.socket.on('message', (message, sender) =>
-      this.receive(message, sender),
-    );
+    this.socket.on('message', (datagram, sender) => {
+      if (datagram[0] === MESSAGE_MARK[0]) {
+        const {address: host, port} = sender;
+        options.onMessage?.(datagram.subarray(MESSAGE_MARK.length), message =>
+          this.sendMessageTo({host, port}, message),
+        );
+      } else {
+        this.receive(datagram, sender);
+      }
+    });
     this.socket.on('error', error =>
       options.logger.warn('gateway_mesh_failed', {message: error.message}),
     );
@@ -207,6 +230,23 @@
     return silent;
   }
 
+  /** Names of the gateways that reports have come from lately. */
+  get reachableGateways(): string[] {
+    return [...this.latestReports.keys()];
+  }
+
+  /** Names of all other gateways, reachable or not. */
+  get knownGateways(): string[] {
+    return this.findPeers().map(({gateway}) => gateway);
+  }
+
+  /** Sends a message to some of the gateways; it may be lost. */
+  sendMessage(gateways: readonly string[], message: Uint8Array): void {
+    this.findPeers()
+      .filter(({gateway}) => gateways.includes(gateway))
+      .forEach(peer => this.sendMessageTo(peer, message));
+  }
+
   /** Sends a report to all peers immediately. */
   broadcast(): void {
     this.sequence += 1;
@@ -218,14 +258,22 @@
       sequence: this.sequence,
       work: report.work.slice(0, MAXIMUM_WORK_ENTRIES),
     }).finish();
-    for (const {host, port} of [
-      ...this.peers,
-      ...this.discoveredPeers.values(),
-    ]) {
+    for (const {host, port} of this.findPeers()) {
       this.socket.send(message, port, host);
     }
   }
 
+  private findPeers(): GatewayPeer[] {
+    return [...this.peers, ...this.discoveredPeers.values()];
+  }
+
+  private sendMessageTo(
+    {host, port}: Pick<GatewayPeer, 'host' | 'port'>,
+    message: Uint8Array,
+  ): void {
+    this.socket.send([MESSAGE_MARK, message], port, host);
+  }
+
   /**
    * Sends periodic reports until the signal is aborted, then closes the socket.
    *
--- /dev/null
+++ b/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.ts
@@ -0,0 +1,109 @@
+/**
+ * Finds out where the stream began that a caller takes up.
+ */
+import type {Clock, RoutedService, StreamOrigin} from '@briarpin/coordination';
+
+import type {Admission} from '../admit_request/admit_request.js';
+import type {RequestMetadata} from '../dialect/dialect.js';
+import type {ErrorResponse} from '../error_response/error_response.js';
+import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
+
+/**
+ * Time after the end of a request's own time in which its caller may still take
+ * its stream up: the patience of callers, and clocks that differ.
+ */
+const TAKE_UP_MILLISECONDS = 60_000;
+
+/**
+ * `Retry-After` of a stream of unknown origin: the gateways that know it may be
+ * out of reach for a moment.
+ */
+const UNKNOWN_ORIGIN_RETRY_MILLISECONDS = 500;
+
+/** An admitted request, with the origin of its stream if it takes one up. */
+export type OriginResolution =
+  | {
+      readonly kind: 'resolved';
+      readonly service: RoutedService;
+      /** Absent when the request starts a stream. */
+      readonly origin?: StreamOrigin;
+    }
+  /** The stream cannot be taken up here. */
+  | {readonly kind: 'rejected'; readonly errorResponse: ErrorResponse};
+
+/** What {@link resolveStreamOrigin} needs of a gateway. */
+type OriginContext = Pick<ForwardingContext, 'endpoints' | 'streamOrigins'> & {
+  /** Finds a service of the configuration in force. */
+  readonly findService: (name: string) => RoutedService | undefined;
+};
+
+/**
+ * Finds the service and the software version at which a request may run. A
+ * stream that a caller takes up continues only where it began; where that is not
+ * known, it is rejected.
+ *
+ * @param metadata - What the request states about itself
+ * @param admission - Route and service of the request
+ * @param context - What this gateway knows of endpoints and streams
+ * @returns The service and the origin, or the error response
+ */
+export async function resolveStreamOrigin(
+  metadata: RequestMetadata,
+  {route, service}: Admission & {kind: 'admitted'},
+  {endpoints, streamOrigins, findService}: OriginContext,
+): Promise<OriginResolution> {
+  const {resumedRequestId, lastEventId, deadlineMilliseconds = 0} = metadata;
+  if (
+    !route.isStream ||
+    (resumedRequestId === undefined && lastEventId === undefined)
+  ) {
+    return {kind: 'resolved', service};
+  }
+  if (resumedRequestId === undefined) {
+    const softwareVersion = endpoints.findOnlySoftwareVersion(
+      service.name,
+      Math.max(route.timeoutMilliseconds, deadlineMilliseconds),
+    );
+    return softwareVersion === undefined
+      ? reject('it is not named which stream is taken up')
+      : {
+          kind: 'resolved',
+          service,
+          origin: {service: service.name, softwareVersion},
+        };
+  }
+  const origin = await streamOrigins.find(resumedRequestId);
+  if (origin === undefined) {
+    return reject('it is not known where the stream began');
+  }
+  const isRouted = route.services.some(
+    candidate => candidate.service === origin.service,
+  );
+  const originService = isRouted ? findService(origin.service) : undefined;
+  return originService === undefined
+    ? reject('the route no longer leads to where the stream began')
+    : {kind: 'resolved', service: originService, origin};
+}
+
+/** Computes how long the caller of a stream may still take it up. */
+export function computeStreamLifetime(
+  {arrivedAt, route, metadata}: Exchange,
+  clock: Clock,
+): number {
+  const allowed = Math.max(
+    route.timeoutMilliseconds,
+    metadata.deadlineMilliseconds ?? 0,
+  );
+  return arrivedAt + allowed + TAKE_UP_MILLISECONDS - clock.now();
+}
+
+function reject(reason: string): OriginResolution {
+  return {
+    kind: 'rejected',
+    errorResponse: {
+      kind: 'not_run',
+      reason,
+      retryAfterMilliseconds: UNKNOWN_ORIGIN_RETRY_MILLISECONDS,
+    },
+  };
+}
--- a/packages/forwarding/src/run_evacuation/run_evacuation.test.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.test.ts
@@ -19,6 +19,7 @@
     availabilityZone: 'east-1',
     state: 'ready',
     slots: 8,
+    softwareVersion: 'v1',
     coldMilliseconds: 0,
   };
 }
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -32,6 +32,7 @@
   type OpenFailure,
   type AttemptFailure,
 } from '../open_result/open_result.js';
+import {computeStreamLifetime} from '../resolve_stream_origin/resolve_stream_origin.js';
 import {permitRetry} from '../permit_retry/permit_retry.js';
 import type {StoppedRun} from '../run_evacuation/run_evacuation.js';
 import {RunMover} from '../run_mover/run_mover.js';
@@ -300,7 +301,10 @@
   ): Promise<OpenResult> {
     const {memorySource} = moved;
     this.moveCount += 1;
-    if (moved.kind !== 'stopped_at_source') {
+    if (
+      moved.kind !== 'stopped_at_source' &&
+      !this.context.endpoints.hasOtherSoftware(moved.target)
+    ) {
       const opened = await this.open({endpoint: moved.target, memorySource});
       this.logResumption(moved.target, opened);
       if (opened.kind === 'leg' || moved.kind === 'source_lost') {
@@ -317,6 +321,7 @@
       request: this.exchange.metadata.requestId,
       endpoint: endpoint.id,
       software: endpoint.softwareVersion,
+      began: this.exchange.origin?.softwareVersion,
       outcome: opened.kind,
       events: this.writer.sentEvents,
       reason: opened.kind === 'failed' ? opened.reason : undefined,
@@ -330,7 +335,10 @@
       return undefined;
     }
     const endpoint = this.context.endpoints.find(holder.id);
-    if (endpoint?.state !== 'ready') {
+    if (
+      endpoint?.state !== 'ready' ||
+      endpoint.softwareVersion !== stream.endpoint.softwareVersion
+    ) {
       return undefined;
     }
     const {host, port} = endpoint;
@@ -390,7 +398,7 @@
       return failure;
     }
     this.writer.recordResponse(result.response);
-    const stream = new EndpointStream({
+    const stream: EndpointStream = new EndpointStream({
       endpoint,
       response: result.response,
       framing: result.framing,
@@ -400,12 +408,46 @@
       releaseLoad: countedWork.release,
       onEvent: event => {
         countedWork.recordEvent();
+        if (stream.receivedEvents === 1 && !this.admitOrigin(stream)) {
+          return undefined;
+        }
         return this.writer.write(event);
       },
     });
     return {kind: 'leg', stream};
   }
 
+  /**
+   * Pins the stream to the software version of the endpoint that sends its first
+   * event, and stops the endpoint's stream if it now has another version than
+   * when it was selected.
+   *
+   * @returns False if its events must not reach the caller
+   */
+  private admitOrigin(stream: EndpointStream): boolean {
+    const {exchange, context} = this;
+    const {endpoint} = stream;
+    if (context.endpoints.hasOtherSoftware(endpoint)) {
+      stream.stop('the endpoint came back with other software');
+      return false;
+    }
+    if (exchange.origin !== undefined) {
+      return true;
+    }
+    const {service, softwareVersion} = endpoint;
+    const origin = {service, softwareVersion};
+    exchange.origin = origin;
+    const {requestId} = exchange.metadata;
+    if (requestId !== undefined && exchange.route.isResumable) {
+      context.streamOrigins.recordBegin({
+        requestId,
+        origin,
+        lifetimeMilliseconds: computeStreamLifetime(exchange, context.clock),
+      });
+    }
+    return true;
+  }
+
   private complete(remainder: Buffer): ExchangeResult {
     this.mover.discardMove();
     this.context.quarantine.recordCompleted(this.exchange);
--- a/packages/messages/src/index.ts
+++ b/packages/messages/src/index.ts
@@ -28,6 +28,10 @@
 export * from './generated/log_page.js';
 export * from './generated/member_list.js';
 export * from './generated/policy.js';
+export {
+  StreamOriginMessage,
+  type StreamOriginGroup,
+} from './generated/stream_origins.js';
 export * from './generated/suspicion_record.js';
 export type {SchemaValidator, SchemaViolation} from './schema_validator.js';
 export {describeViolations} from './describe_violations/describe_violations.js';
--- a/packages/stand_ins/src/bench/simulate_evacuation.ts
+++ b/packages/stand_ins/src/bench/simulate_evacuation.ts
@@ -227,6 +227,7 @@
       availabilityZone,
       state: 'ready',
       slots: SLOTS,
+      softwareVersion: 'v1',
       coldMilliseconds: 0,
     };
     this.engines.set(id, {
