Keep room at each software version for the runs that can go nowhere else

Runs and streams that are taken up may go on at their own version only, but placing counted the memory of all engines of a zone as theirs: while a version leaves, new work filled the engines that its runs need.

Change: where a service has several versions, the share of memory that an evacuation would fill counts the engines of one version, in their zone and in all zones, with the work of those that drain. An engine that alone has its version counts with itself, so that a new version is not avoided. The sums moved to a module of their own. With one version nothing changes.

--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -333,6 +333,7 @@
     }),
     loads: new EndpointLoads({
       now: () => clock.now(),
+      findDraining: service => endpoints.findDraining(service),
       roundTripMilliseconds: entry =>
         computeRoundTripMilliseconds(settings, entry),
     }),
--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.test.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.test.ts
@@ -44,6 +44,7 @@
   const time = {now: 0};
   const loads = new EndpointLoads({
     now: () => time.now,
+    findDraining: () => [],
     roundTripMilliseconds: () => 0,
   });
   const computeCandidate = (id: string, service: RoutedService | undefined) =>
--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
@@ -8,6 +8,7 @@
 } from '@briarpin/coordination';
 import type {EndpointState} from '@briarpin/scheduling';
 
+import {computeEvacuationShare} from '../compute_evacuation_share/compute_evacuation_share.js';
 import {computeCopyMilliseconds} from '../compute_copy_milliseconds/compute_copy_milliseconds.js';
 
 /**
@@ -43,12 +44,6 @@
 
 const NO_WORK: OpenWork = {requests: 0, tokens: 0, promptTokens: 0};
 
-/** Memory of all engines in an availability zone, in tokens. */
-interface ZoneMemory {
-  used: number;
-  total: number;
-}
-
 /** Exponential moving averages of an endpoint's outcomes. */
 interface Averages {
   failureShare: number;
@@ -62,6 +57,8 @@
 export interface EndpointLoadsOptions {
   /** Reads a monotonic clock, in milliseconds. */
   readonly now: () => number;
+  /** Finds the endpoints of a service that only finish their work. */
+  readonly findDraining: (service: string) => readonly EndpointEntry[];
   /** Returns the network round-trip time to an endpoint, in milliseconds. */
   readonly roundTripMilliseconds: (entry: EndpointEntry) => number;
 }
@@ -188,34 +185,42 @@
     service: RoutedService | undefined,
   ): EndpointCandidate[] {
     const engine = service?.engine;
-    const zones = this.sumZones(entries, engine);
+    const computeShare = this.createShareFunction(entries, service);
     return entries.map(entry =>
-      this.computeCandidate(entry, engine, zones.get(entry.availabilityZone)),
+      this.computeCandidate(entry, engine, computeShare(entry)),
     );
   }
 
-  /** Sums used and total memory of the engines by availability zone. */
-  private sumZones(
+  /** Returns the function that computes evacuation shares; 0 without moves. */
+  private createShareFunction(
     entries: readonly EndpointEntry[],
-    engine: EngineProfile | undefined,
-  ): ReadonlyMap<string, ZoneMemory> {
-    const zones = new Map<string, ZoneMemory>();
-    if (engine === undefined) {
-      return zones;
-    }
-    for (const {availabilityZone, id} of entries) {
-      const zone = zones.get(availabilityZone) ?? {used: 0, total: 0};
-      zone.used += this.sumWork(id).tokens;
-      zone.total += engine.memoryTokens;
-      zones.set(availabilityZone, zone);
+    service: RoutedService | undefined,
+  ): (entry: EndpointEntry) => number {
+    const engine = service?.engine;
+    if (engine?.supportsMoves !== true) {
+      return () => 0;
     }
-    return zones;
+    const readMemory = (entry: EndpointEntry) => ({
+      ...entry,
+      usedTokens: this.sumWork(entry.id).tokens,
+    });
+    const draining = this.options.findDraining(service?.name ?? '');
+    const group = {
+      ready: entries.map(readMemory),
+      draining: draining.map(readMemory),
+    };
+    return memoize(
+      ({availabilityZone, softwareVersion}) =>
+        JSON.stringify([availabilityZone, softwareVersion]),
+      entry =>
+        computeEvacuationShare(readMemory(entry), group, engine.memoryTokens),
+    );
   }
 
   private computeCandidate(
     entry: EndpointEntry,
     engine: EngineProfile | undefined,
-    zone: ZoneMemory | undefined,
+    evacuationShare: number,
   ): EndpointCandidate {
     const work = this.sumWork(entry.id);
     const averages = this.computeDecayedAverages(entry.id);
@@ -226,7 +231,7 @@
       slots: Math.max(1, entry.slots),
       usedTokens: work.tokens,
       memoryTokens: engine?.memoryTokens ?? Number.POSITIVE_INFINITY,
-      evacuationShare: computeEvacuationShare(engine, zone),
+      evacuationShare,
       copyMillisecondsPerToken:
         engine?.supportsMoves === true ? computeCopyMilliseconds(engine, 1) : 0,
       roundTripMilliseconds: this.options.roundTripMilliseconds(entry),
@@ -294,21 +299,6 @@
   }
 }
 
-/**
- * Computes the share of an availability zone's remaining memory that the
- * zone's work would use without one of its engines.
- */
-function computeEvacuationShare(
-  engine: EngineProfile | undefined,
-  zone: ZoneMemory | undefined,
-): number {
-  if (engine === undefined || zone === undefined || !engine.supportsMoves) {
-    return 0;
-  }
-  const remaining = zone.total - engine.memoryTokens;
-  return remaining <= 0 ? Number.POSITIVE_INFINITY : zone.used / remaining;
-}
-
 /** Predicts the response time of a plain service, including queueing. */
 function predictCallMilliseconds(
   {latencyMilliseconds}: Averages,
@@ -319,3 +309,17 @@
   const queued = Math.max(0, requests + 1 - slotCount);
   return latencyMilliseconds * (1 + queued / slotCount);
 }
+
+/** Returns a function that computes one value for all arguments of a key. */
+function memoize<Argument, Value>(
+  getKey: (argument: Argument) => string,
+  compute: (argument: Argument) => Value,
+): (argument: Argument) => Value {
+  const values = new Map<string, Value>();
+  return argument => {
+    const key = getKey(argument);
+    const value = values.get(key) ?? compute(argument);
+    values.set(key, value);
+    return value;
+  };
+}
--- a/packages/stand_ins/src/bench/simulate_evacuation.ts
+++ b/packages/stand_ins/src/bench/simulate_evacuation.ts
@@ -414,6 +414,7 @@
     }
     const loads = new EndpointLoads({
       now: () => simulation.clock.now(),
+      findDraining: () => [],
       roundTripMilliseconds: () => 0,
     });
     this.loads.set(simulation, loads);
