--- a/packages/coordination/src/select_keepers/select_keepers.ts
+++ b/packages/coordination/src/select_keepers/select_keepers.ts
@@ -28,11 +28,26 @@
     return processes;
   }
   const keyHash = hash(key);
-  return processes
-    .map(name => ({name, score: mix(keyHash ^ hash(name))}))
-    .sort((left, right) => right.score - left.score)
-    .slice(0, count)
-    .map(({name}) => name);
+  const selected: ScoredName[] = [];
+  for (const name of processes) {
+    insert(selected, {name, score: mix(keyHash ^ hash(name))});
+    selected.length = Math.min(selected.length, count);
+  }
+  return selected.map(({name}) => name);
+}
+
+interface ScoredName {
+  readonly name: string;
+  readonly score: number;
+}
+
+/** Inserts a name into a list that is sorted by score, best first. */
+function insert(sorted: ScoredName[], added: ScoredName): void {
+  let index = sorted.length;
+  while (index > 0 && (sorted[index - 1]?.score ?? 0) < added.score) {
+    index -= 1;
+  }
+  sorted.splice(index, 0, added);
 }
 
 function hash(text: string): number {
--- a/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.ts
+++ b/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.ts
@@ -64,13 +64,11 @@
       service.name,
       Math.max(route.timeoutMilliseconds, deadlineMilliseconds),
     );
-    return softwareVersion === undefined
-      ? reject('it is not named which stream is taken up')
-      : {
-          kind: 'resolved',
-          service,
-          origin: {service: service.name, softwareVersion},
-        };
+    if (softwareVersion === undefined || route.services.length > 1) {
+      return reject('it is not named which stream is taken up');
+    }
+    const origin = {service: service.name, softwareVersion};
+    return {kind: 'resolved', service, origin};
   }
   const origin = await streamOrigins.find(resumedRequestId);
   if (origin === undefined) {
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -224,6 +224,38 @@
     to: 'allowed',
     test: 'soak/retry_limit',
   },
+  {
+    promise: 'a stream continues only at the software version where it began',
+    mechanism: 'a copy goes to an engine of the version of its source',
+    file: 'packages/forwarding/dist/choose_placement/choose_placement.js',
+    from: 'softwareVersion === source.softwareVersion',
+    to: 'true',
+    test: 'choose_placement',
+  },
+  {
+    promise: 'a stream continues only at the software version where it began',
+    mechanism: 'a stream that is taken up is pinned to its origin',
+    file: 'packages/forwarding/dist/exchange/exchange.js',
+    from: 'return origin === undefined',
+    to: 'return true',
+    test: 'stream_versions',
+  },
+  {
+    promise: 'a stream that callers take up elsewhere goes on',
+    mechanism: 'the other gateways are told where a stream began',
+    file: 'packages/forwarding/dist/stream_origins/stream_origins.js',
+    from: 'this.send(keepers,',
+    to: 'this.send([],',
+    test: 'forwarding/dist/stream_origins',
+  },
+  {
+    promise: 'a stream that callers take up elsewhere goes on',
+    mechanism: 'a gateway that does not know a stream asks the others',
+    file: 'packages/forwarding/dist/stream_origins/stream_origins.js',
+    from: 'await this.ask(requestId);',
+    to: '',
+    test: 'forwarding/dist/stream_origins',
+  },
 ];
 
 let green = 0;
