Keep to the pause of an endpoint with every kind of request

What operators saw: a server that had turned a gateway away with 503 and a time to wait got requests from it in that time.

Cause: only the choice of an endpoint looked at a pause, and the pause was dropped with the endpoint's entry, though entries lapse and return. Ruled out: a pause that ends early (none in the first test: it counts from the arrival of the answer, on a monotonic clock).

Change: a pause lasts to its end whatever happens to the entry; a 503 of a control call is read for it; copy calls wait for the end of the source's pause, a paused target is replaced, the release of a copy is left to its holder, a moved run goes on at the holder of its memory that may be asked first, a paused holder of a checkpoint is not used, and a request whose connection opens within a pause is not sent.

--- a/packages/forwarding/src/dialect/dialect.ts
+++ b/packages/forwarding/src/dialect/dialect.ts
@@ -117,7 +117,12 @@
    * The target has no room or cannot be reached; `handle` identifies the memory
    * at the source if the run was stopped.
    */
-  | {readonly kind: 'no_room'; readonly handle?: string}
+  | {
+      readonly kind: 'no_room';
+      readonly handle?: string;
+      /** Time for which the source wants no other request. */
+      readonly pauseMilliseconds?: number;
+    }
   /** No valid response; the run may have been stopped. */
   | {readonly kind: 'unknown'; readonly message: string};
 
@@ -160,8 +165,13 @@
   /** Copies a run's memory; stops the run first if `stop` is set. */
   moveRun(call: MoveCall): Promise<MoveOutcome>;
 
-  /** Frees an unused copy. */
-  dropCopy(call: DropCopyCall): Promise<void>;
+  /**
+   * Frees an unused copy.
+   *
+   * @returns Milliseconds for which the holder wants no other request; undefined
+   *   when it states none
+   */
+  dropCopy(call: DropCopyCall): Promise<number | undefined>;
 
   /** Requests the report of an engine; undefined if it sends no valid one. */
   readReport(endpoint: EndpointAddress): Promise<EngineReport | undefined>;
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -154,7 +154,7 @@
         return;
       }
       this.limits.recordRequest(attempt.endpoint.id);
-      trackConnection(request, progress);
+      trackConnection(request, progress, () => this.isPaused(attempt));
       request.on('error', fail);
       request.on('response', response => {
         resolve(this.classifyResponse(attempt, request, response));
@@ -174,6 +174,10 @@
     this.singleUseAgent.destroy();
   }
 
+  private isPaused({endpoint}: Attempt): boolean {
+    return this.limits.computePauseMilliseconds(endpoint.id) > 0;
+  }
+
   private createRequest(
     attempt: Attempt,
     fail: (error: Error) => void,
@@ -252,15 +256,26 @@
   }
 }
 
-/** Records when a connection is established, and enforces its timeout. */
+/**
+ * Records when a connection is established, and enforces its timeout. Nothing is
+ * sent on it if the endpoint has asked for a pause meanwhile.
+ */
 function trackConnection(
   request: http.ClientRequest,
   progress: {isConnected: boolean},
+  isPaused: () => boolean,
 ): void {
+  const beforeSending = () => {
+    if (isPaused()) {
+      request.destroy(new Error('the endpoint asked for a pause'));
+      return;
+    }
+    progress.isConnected = true;
+  };
   request.on('socket', socket => {
     socket.setNoDelay(true);
     if (!socket.connecting) {
-      progress.isConnected = true;
+      beforeSending();
       return;
     }
     const timer = setTimeout(() => {
@@ -268,7 +283,7 @@
     }, CONNECT_TIMEOUT_MILLISECONDS);
     socket.once('connect', () => {
       clearTimeout(timer);
-      progress.isConnected = true;
+      beforeSending();
     });
     socket.once('close', () => clearTimeout(timer));
   });
--- a/packages/forwarding/src/endpoint_limits/endpoint_limits.ts
+++ b/packages/forwarding/src/endpoint_limits/endpoint_limits.ts
@@ -93,6 +93,11 @@
     });
   }
 
+  /** Computes the time for which an endpoint wants nothing at all. */
+  computePauseMilliseconds(endpointId: string): number {
+    return this.pauses.computeWaitMilliseconds(endpointId);
+  }
+
   /** Counts a request that is sent to an endpoint. */
   recordRequest(endpointId: string): void {
     const limit = this.limits.get(endpointId);
@@ -168,10 +173,9 @@
     }
   }
 
-  /** Removes the limits of an endpoint that has left. */
+  /** Removes the rate limit of an endpoint that has left. */
   remove(endpointId: string): void {
     this.limits.delete(endpointId);
-    this.pauses.remove(endpointId);
   }
 
   private set(
--- a/packages/forwarding/src/run_evacuation/run_evacuation.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.ts
@@ -17,6 +17,9 @@
 /** Delay before a copy is retried for a run that was not ready. */
 const NOT_READY_RETRY_DELAY_MILLISECONDS = 60;
 
+/** Interval at which a run is looked at whose source wants no requests. */
+const PAUSE_POLL_MILLISECONDS = 50;
+
 /** Maximum number of copy calls for one run, over all targets. */
 const MAXIMUM_COPY_CALLS = 12;
 
@@ -76,8 +79,15 @@
 /** Context of {@link moveRun}. */
 type MoveContext = Pick<ForwardingContext, 'clock' | 'logger'> & {
   readonly dialect: Dialect;
+  readonly limits: EndpointPauseLimits;
 };
 
+/** The part of the limits of endpoints that copies must keep to. */
+type EndpointPauseLimits = Pick<
+  ForwardingContext['limits'],
+  'computePauseMilliseconds' | 'recordPause'
+>;
+
 /**
  * Moves a run by iterative pre-copy: copies its memory while it runs, then
  * stops it for the last copy.
@@ -92,17 +102,31 @@
   context: MoveContext,
   onStopping: () => void,
 ): Promise<MoveResult> {
-  const {clock} = context;
+  const {clock, limits} = context;
   const excluded: string[] = [];
   let target = run.chooseTarget(excluded);
   let copy: RunCopy | undefined;
   let rounds = 0;
   let stop = false;
-  for (
-    let calls = 0;
-    calls < MAXIMUM_COPY_CALLS && run.isAtSource();
-    calls += 1
-  ) {
+  const chooseNextTarget = (previous: EndpointEntry) => {
+    dropCopy(copy, context);
+    copy = undefined;
+    excluded.push(previous.id);
+    target = run.chooseTarget(excluded);
+    stop = false;
+    rounds = 0;
+  };
+  for (let calls = 0; calls < MAXIMUM_COPY_CALLS; calls += 1) {
+    await waitForPause(run, context);
+    if (!run.isAtSource()) {
+      break;
+    }
+    if (
+      target !== undefined &&
+      limits.computePauseMilliseconds(target.id) > 0
+    ) {
+      chooseNextTarget(target);
+    }
     if (target === undefined) {
       return {kind: 'kept', reason: 'no engine has room'};
     }
@@ -134,12 +158,7 @@
           const memorySource = createMemorySource(run, outcome.handle);
           return {kind: 'stopped_at_source', memorySource};
         }
-        dropCopy(copy, context);
-        copy = undefined;
-        excluded.push(target.id);
-        target = run.chooseTarget(excluded);
-        stop = false;
-        rounds = 0;
+        chooseNextTarget(target);
         break;
       }
       case 'not_running':
@@ -159,10 +178,24 @@
   return {kind: 'kept', reason: 'the run has ended'};
 }
 
+/** Waits while the source wants no requests and still runs the generation. */
+async function waitForPause(
+  {source, isAtSource}: MovableRun,
+  {clock, limits}: MoveContext,
+): Promise<void> {
+  for (;;) {
+    const pause = limits.computePauseMilliseconds(source.id);
+    if (pause <= 0 || !isAtSource()) {
+      return;
+    }
+    await clock.sleep(Math.min(pause, PAUSE_POLL_MILLISECONDS));
+  }
+}
+
 /** Requests one copy and opens the connection of the following call. */
 async function copyOnce(
   run: MovableRun,
-  {clock, dialect, logger}: MoveContext,
+  {clock, dialect, limits, logger}: MoveContext,
   {target, stop}: {target: EndpointEntry; stop: boolean},
 ): Promise<MoveOutcome> {
   const {source, requestId} = run;
@@ -180,6 +213,9 @@
     dialect.prepareMove(source);
   }
   const outcome = await copying;
+  if (outcome.kind === 'no_room' && outcome.pauseMilliseconds !== undefined) {
+    limits.recordPause(source.id, outcome.pauseMilliseconds);
+  }
   logger.info('run_copied', {
     request: requestId,
     source: source.id,
@@ -203,17 +239,25 @@
 }
 
 /**
- * Releases the memory and the slot that a copy occupies at its target. Runs in
+ * Releases the memory and the slot that a copy occupies at its target, unless
+ * that wants no requests; it then releases them itself after some time. Runs in
  * the background; failures are logged.
  */
 export function dropCopy(
   copy: RunCopy | undefined,
-  {dialect, logger}: Pick<ForwardingContext, 'dialect' | 'logger'>,
+  {dialect, limits, logger}: Omit<MoveContext, 'clock'>,
 ): void {
-  if (copy !== undefined) {
-    const {target, handle} = copy;
-    runTask('drop_copy', logger, () =>
-      dialect.dropCopy({holder: target, handle}),
-    );
+  if (
+    copy === undefined ||
+    limits.computePauseMilliseconds(copy.target.id) > 0
+  ) {
+    return;
   }
+  const {target, handle} = copy;
+  runTask('drop_copy', logger, async () => {
+    const pause = await dialect.dropCopy({holder: target, handle});
+    if (pause !== undefined) {
+      limits.recordPause(target.id, pause);
+    }
+  });
 }
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -301,21 +301,53 @@
   ): Promise<OpenResult> {
     const {memorySource} = moved;
     this.moveCount += 1;
-    if (
-      moved.kind !== 'stopped_at_source' &&
-      !this.context.endpoints.hasOtherSoftware(moved.target)
-    ) {
-      const opened = await this.open({endpoint: moved.target, memorySource});
-      this.logResumption(moved.target, opened);
-      if (opened.kind === 'leg' || moved.kind === 'source_lost') {
-        return opened;
+    let opened: OpenResult = {
+      kind: 'failed',
+      reason: 'no engine may continue the moved run',
+      mayHaveRun: true,
+      wasSent: true,
+    };
+    for (const endpoint of this.listHolders(stream, moved)) {
+      await this.waitForPause(endpoint);
+      opened = await this.open({endpoint, memorySource});
+      this.logResumption(endpoint, opened);
+      if (opened.kind === 'leg') {
+        break;
       }
     }
-    const opened = await this.open({endpoint: stream.endpoint, memorySource});
-    this.logResumption(stream.endpoint, opened);
     return opened;
   }
 
+  /**
+   * Lists the engines that hold the memory of a run that was stopped to be
+   * moved: the target before the source, but those that want no requests last.
+   */
+  private listHolders(
+    {endpoint: source}: EndpointStream,
+    moved: StoppedRun,
+  ): EndpointEntry[] {
+    const {endpoints, limits} = this.context;
+    const targets =
+      moved.kind === 'stopped_at_source' ||
+      endpoints.hasOtherSoftware(moved.target)
+        ? []
+        : [moved.target];
+    const holders =
+      moved.kind === 'source_lost' ? targets : [...targets, source];
+    const getPause = ({id}: EndpointEntry) =>
+      limits.computePauseMilliseconds(id);
+    return holders.sort((left, right) => getPause(left) - getPause(right));
+  }
+
+  /** Waits while an endpoint wants no requests. */
+  private async waitForPause({id}: EndpointEntry): Promise<void> {
+    const {clock, limits} = this.context;
+    const pause = limits.computePauseMilliseconds(id);
+    if (pause > 0) {
+      await clock.sleep(pause, this.exchange.signal);
+    }
+  }
+
   private logResumption(endpoint: EndpointEntry, opened: OpenResult): void {
     this.context.logger.info('stream_continued', {
       request: this.exchange.metadata.requestId,
@@ -337,7 +369,8 @@
     const endpoint = this.context.endpoints.find(holder.id);
     if (
       endpoint?.state !== 'ready' ||
-      endpoint.softwareVersion !== stream.endpoint.softwareVersion
+      endpoint.softwareVersion !== stream.endpoint.softwareVersion ||
+      this.context.limits.computePauseMilliseconds(endpoint.id) > 0
     ) {
       return undefined;
     }
--- a/packages/stand_ins/src/bench/simulate_evacuation.ts
+++ b/packages/stand_ins/src/bench/simulate_evacuation.ts
@@ -366,13 +366,14 @@
   const dialect: Partial<Dialect> = {
     prepareMove: doNothing,
     moveRun: call => simulation.copyRun(call),
-    dropCopy: async ({holder, handle}) => {
+    dropCopy: ({holder, handle}) => {
       const engine = simulation.findEngine(holder.host);
       const tokens = engine?.copies.get(handle);
       if (engine !== undefined && tokens !== undefined) {
         engine.copies.delete(handle);
         engine.usedTokens -= tokens;
       }
+      return Promise.resolve(undefined);
     },
   };
   const logger = {
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -256,6 +256,30 @@
     to: '',
     test: 'forwarding/dist/stream_origins',
   },
+  {
+    promise: 'an endpoint that asked for a pause gets no requests in it',
+    mechanism: 'an endpoint that asked for a pause is no candidate',
+    file: 'packages/forwarding/dist/endpoint_limits/endpoint_limits.js',
+    from: 'if (this.pauses.computeWaitMilliseconds(endpointId) > 0)',
+    to: 'if (false)',
+    test: 'machine/endpoint_pauses',
+  },
+  {
+    promise: 'an endpoint that asked for a pause gets no requests in it',
+    mechanism: 'copy calls wait for the end of a pause',
+    file: 'packages/forwarding/dist/run_evacuation/run_evacuation.js',
+    from: 'await waitForPause(run, context);',
+    to: '',
+    test: 'machine/endpoint_pauses',
+  },
+  {
+    promise: 'an endpoint that asked for a pause gets no requests in it',
+    mechanism: 'a connection that opens within a pause is not used',
+    file: 'packages/forwarding/dist/endpoint_client/endpoint_client.js',
+    from: 'if (isPaused())',
+    to: 'if (false)',
+    test: 'forwarding/dist/endpoint_client',
+  },
 ];
 
 let green = 0;
