Write up requests to servers that asked for rest

That a paused endpoint is no candidate had turned green with its old test, since late connections are guarded too; its test is now one of the limits, which also checks that the pause outlasts the entry.

--- a/packages/forwarding/src/endpoint_limits/endpoint_limits.test.ts
+++ b/packages/forwarding/src/endpoint_limits/endpoint_limits.test.ts
@@ -68,6 +68,16 @@
     assert.equal(second.hasCapacity('e'), false);
   });
 
+  it('has no capacity for a request within a pause, though the endpoint left', () => {
+    first.recordPause('e', 1_000);
+    first.remove('e');
+    now = 999;
+    assert.equal(first.hasCapacity('e'), false);
+    assert.equal(first.computeWaitMilliseconds('e'), 1);
+    now = 1_000;
+    assert.equal(first.hasCapacity('e'), true);
+  });
+
   it('forgets a limit that no response confirms for long', () => {
     first.recordResponse('e', 0);
     first.recordRequest('e');
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -182,7 +182,7 @@
     file: 'packages/forwarding/dist/endpoint_limits/endpoint_limits.js',
     from: 'this.pauses.computeWaitMilliseconds(endpointId) > 0',
     to: 'false',
-    test: 'machine/endpoint_requests',
+    test: 'forwarding/dist/endpoint_limits',
   },
   {
     promise: 'a crashing request is quarantined on machines',
@@ -256,14 +256,6 @@
     to: '',
     test: 'forwarding/dist/stream_origins',
   },
-  {
-    promise: 'an endpoint that asked for a pause gets no requests in it',
-    mechanism: 'an endpoint that asked for a pause is no candidate',
-    file: 'packages/forwarding/dist/endpoint_limits/endpoint_limits.js',
-    from: 'if (this.pauses.computeWaitMilliseconds(endpointId) > 0)',
-    to: 'if (false)',
-    test: 'machine/endpoint_pauses',
-  },
   {
     promise: 'an endpoint that asked for a pause gets no requests in it',
     mechanism: 'copy calls wait for the end of a pause',
