Tell refused callers when a trial may clear their prompt part

Change: a caller refused for a part is told the time until a trial may start, at least 1 s; where the last trial crashed its endpoint, and for whole requests, which have no trials, the time until the suspicion expires. What may run is decided as before.

Before: 3,600 s in each case.

--- a/packages/forwarding/src/crash_quarantine/crash_quarantine.test.ts
+++ b/packages/forwarding/src/crash_quarantine/crash_quarantine.test.ts
@@ -154,4 +154,49 @@
     assert.equal(isRefused(), false);
     assert.equal(table.countCrashes('a', now), 1);
   });
+
+  describe('tells a refused caller to come again', () => {
+    const MINUTE = 60_000;
+    const withPart = (request: string) => ({
+      ...REQUEST,
+      fingerprint: () => request,
+      metadata: {
+        ...REQUEST.metadata,
+        promptParts: [
+          {id: 'deadly', tokens: 10},
+          {id: request, tokens: 10},
+        ],
+      },
+    });
+
+    const crashUnder = async (request: typeof REQUEST, id: string) =>
+      quarantine.recordCrash(await interrupt(id, request));
+
+    const readRetryAfter = (request: typeof REQUEST) =>
+      quarantine.admit(request)?.retryAfterMilliseconds;
+
+    it('when the suspicion of a whole request expires', async () => {
+      for (const id of ['one', 'two', 'three']) {
+        await crashUnder(REQUEST, id);
+      }
+      now = 10 * MINUTE;
+      assert.equal(readRetryAfter(REQUEST), 50 * MINUTE);
+    });
+
+    it('when a trial of a prompt part may clear it', async () => {
+      for (const id of ['one', 'two', 'three']) {
+        await crashUnder(withPart(id), id);
+      }
+      now = 500;
+      assert.equal(readRetryAfter(withPart('next')), 1_500);
+      now = 5_000;
+      assert.equal(readRetryAfter(withPart('trial')), undefined);
+      now = 6_000;
+      assert.equal(readRetryAfter(withPart('next')), 14_000);
+      now = 7_000;
+      await crashUnder(withPart('trial'), 'four');
+      now = 8_000;
+      assert.equal(readRetryAfter(withPart('next')), 60 * MINUTE - 1_000);
+    });
+  });
 });
--- a/packages/forwarding/src/crash_quarantine/crash_quarantine.ts
+++ b/packages/forwarding/src/crash_quarantine/crash_quarantine.ts
@@ -11,6 +11,7 @@
 import type {SuspicionRecord} from '@briarpin/messages';
 import type {ListenerState} from '@briarpin/platform';
 import {
+  computeTrialWaitMilliseconds,
   decideTrial,
   findCulprit,
   type SuspectHistory,
@@ -70,6 +71,12 @@
   readonly interruptedAt: number;
 }
 
+/**
+ * Shortest time after which a refused request is told to come again: a run that
+ * clears it takes about as long.
+ */
+const MINIMUM_RETRY_MILLISECONDS = 1_000;
+
 /** Why a request is refused. */
 export interface QuarantineRefusal {
   readonly reason: string;
@@ -129,10 +136,27 @@
       : 'requests with the same prompt part';
     return {
       reason: `several servers crashed while they ran ${what}`,
-      retryAfterMilliseconds: SUSPICION_LIFETIME_MILLISECONDS,
+      retryAfterMilliseconds: this.computeRetryAfter(culprit, isWhole),
     };
   }
 
+  /**
+   * Computes when a refused request may be accepted: once a trial of the prompt
+   * part can have cleared it, or when the suspicion expires.
+   */
+  private computeRetryAfter({key}: SuspectHistory, isWhole: boolean): number {
+    const {table, wallClockMilliseconds} = this.options;
+    const now = wallClockMilliseconds();
+    const times = readTrialTimes(table.findCrashes(key, now));
+    const trialWait = isWhole
+      ? undefined
+      : computeTrialWaitMilliseconds({...times, now});
+    return Math.max(
+      MINIMUM_RETRY_MILLISECONDS,
+      trialWait ?? times.lastCrashAt + SUSPICION_LIFETIME_MILLISECONDS - now,
+    );
+  }
+
   /** Records an attempt that was sent and got no complete response. */
   recordInterrupted(request: SuspectedRequest, endpoint: EndpointEntry): void {
     this.evictExpired();
--- a/packages/scheduling/src/decide_trial/decide_trial.test.ts
+++ b/packages/scheduling/src/decide_trial/decide_trial.test.ts
@@ -5,7 +5,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
-import {decideTrial, type TrialState} from './decide_trial.js';
+import {
+  computeTrialWaitMilliseconds,
+  decideTrial,
+  type TrialState,
+} from './decide_trial.js';
 
 const decide = (state: TrialState) => decideTrial(state, () => 0);
 
@@ -34,3 +38,19 @@
     );
   });
 });
+
+describe('computeTrialWaitMilliseconds', () => {
+  it('counts from the last crash, and from a trial that showed nothing', () => {
+    const lastCrashAt = 10_000;
+    const compute = computeTrialWaitMilliseconds;
+    assert.equal(compute({lastCrashAt, now: 11_500}), 500);
+    assert.equal(compute({lastCrashAt, now: 20_000}), 0);
+    const lastTrialAt = 13_000;
+    assert.equal(compute({lastCrashAt, lastTrialAt, now: 20_000}), 8_000);
+  });
+
+  it('expects no trial after one that crashed its endpoint', () => {
+    const state = {lastTrialAt: 13_000, lastCrashAt: 13_400, now: 20_000};
+    assert.equal(computeTrialWaitMilliseconds(state), undefined);
+  });
+});
--- a/packages/scheduling/src/decide_trial/decide_trial.ts
+++ b/packages/scheduling/src/decide_trial/decide_trial.ts
@@ -39,18 +39,28 @@
  * @example
  * decideTrial({lastCrashAt: 0, now: 5_000}, () => 0); //=> true
  */
-export function decideTrial(
-  {lastCrashAt, lastTrialAt, now}: TrialState,
-  random: () => number,
-): boolean {
-  if (now - lastCrashAt < QUIET_MILLISECONDS) {
-    return false;
-  }
-  if (lastTrialAt !== undefined) {
-    const hasFailed = lastCrashAt >= lastTrialAt;
-    if (hasFailed || now - lastTrialAt < UNDECIDED_MILLISECONDS) {
-      return false;
-    }
-  }
-  return random() < TRIAL_SHARE;
+export function decideTrial(state: TrialState, random: () => number): boolean {
+  return computeTrialWaitMilliseconds(state) === 0 && random() < TRIAL_SHARE;
+}
+
+/**
+ * Computes the time until a trial of a suspect may start.
+ *
+ * @param state - Crashes and trials so far
+ * @returns Milliseconds; undefined when there will be no other trial
+ */
+export function computeTrialWaitMilliseconds({
+  lastCrashAt,
+  lastTrialAt = Number.NEGATIVE_INFINITY,
+  now,
+}: TrialState): number | undefined {
+  const hasFailed =
+    lastCrashAt >= lastTrialAt && lastTrialAt > Number.NEGATIVE_INFINITY;
+  return hasFailed
+    ? undefined
+    : Math.max(
+        0,
+        lastCrashAt + QUIET_MILLISECONDS - now,
+        lastTrialAt + UNDECIDED_MILLISECONDS - now,
+      );
 }
