--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -2,7 +2,6 @@
  * HTTP client that sends single attempts to endpoints.
  */
 import http from 'node:http';
-import type net from 'node:net';
 
 import type {EndpointEntry} from '@briarpin/coordination';
 import {
@@ -13,6 +12,7 @@
 
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {ResponseMetadata, Dialect} from '../dialect/dialect.js';
+import {GuardedAgent} from '../guarded_agent/guarded_agent.js';
 import {
   PreconnectingAgent,
   type ConnectionTarget,
@@ -27,9 +27,6 @@
 /** Time after which an idle connection to an endpoint is closed. */
 const IDLE_TIMEOUT_MILLISECONDS = 2_000;
 
-/** Largest response body that is buffered before it is forwarded. */
-const MAXIMUM_BUFFERED_BYTES = 4_194_304;
-
 /** Limit of the status line and headers of a response. */
 const MAXIMUM_HEADER_BYTES = 65_536;
 
@@ -77,32 +74,6 @@
   /** The request was sent and got no usable response. */
   | {readonly kind: 'unknown'; readonly reason: string};
 
-/**
- * Agent that destroys an idle connection when bytes arrive on it, because such
- * bytes belong to no request.
- */
-class GuardedAgent extends http.Agent {
-  private readonly guards = new WeakMap<net.Socket, () => void>();
-
-  keepSocketAlive(socket: net.Socket): boolean {
-    const isPooled = super.keepSocketAlive(socket) as unknown as boolean;
-    if (isPooled) {
-      const guard = () => socket.destroy();
-      this.guards.set(socket, guard);
-      socket.on('data', guard);
-    }
-    return isPooled;
-  }
-
-  reuseSocket(socket: net.Socket, request: http.ClientRequest): void {
-    const guard = this.guards.get(socket);
-    if (guard !== undefined) {
-      socket.removeListener('data', guard);
-    }
-    super.reuseSocket(socket, request);
-  }
-}
-
 /** Callbacks of {@link EndpointClient}. */
 export interface EndpointClientCallbacks {
   /** Finds out whether an endpoint has ended without a shutdown notice. */
@@ -288,48 +259,3 @@
     socket.once('close', () => clearTimeout(timer));
   });
 }
-
-/** A complete body, or the reason why it is incomplete. */
-export type BufferedBody =
-  | {readonly kind: 'whole'; readonly body: Buffer}
-  | {readonly kind: 'broken'; readonly reason: string};
-
-/**
- * Reads the body of a response to its end.
- *
- * @param result - Response whose head has been read
- * @returns The body; `broken` if it is incomplete or too large
- */
-export function bufferBody({
-  response,
-  confirmEnd,
-}: AttemptResult & {kind: 'answered'}): Promise<BufferedBody> {
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    let hasEnded = false;
-    const fail = (reason: string) => resolve({kind: 'broken', reason});
-    response.on('data', (chunk: Buffer) => {
-      chunks.push(chunk);
-      size += chunk.length;
-      if (size > MAXIMUM_BUFFERED_BYTES) {
-        fail('the answer is too large');
-        response.destroy();
-      }
-    });
-    response.on('end', () => {
-      hasEnded = true;
-      void confirmEnd().then(isComplete =>
-        isComplete
-          ? resolve({kind: 'whole', body: Buffer.concat(chunks)})
-          : fail('the answer broke off'),
-      );
-    });
-    response.on('error', error => fail(error.message));
-    response.on('close', () => {
-      if (!hasEnded) {
-        fail('the connection closed');
-      }
-    });
-  });
-}
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -3,8 +3,8 @@
  */
 import {selectEndpoint} from '@briarpin/scheduling';
 
+import {bufferBody} from '../buffer_body/buffer_body.js';
 import {
-  bufferBody,
   type Attempt,
   type AttemptResult,
 } from '../endpoint_client/endpoint_client.js';
--- a/packages/forwarding/src/open_result/open_result.ts
+++ b/packages/forwarding/src/open_result/open_result.ts
@@ -1,10 +1,8 @@
 /**
  * Outcome of an attempt to open a stream.
  */
-import {
-  bufferBody,
-  type AttemptResult,
-} from '../endpoint_client/endpoint_client.js';
+import {bufferBody} from '../buffer_body/buffer_body.js';
+import {type AttemptResult} from '../endpoint_client/endpoint_client.js';
 import type {BufferedResponse} from '../exchange/exchange.js';
 
 /** Range of the statuses that a stream response may have. */
--- a/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.ts
+++ b/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.ts
@@ -1,18 +1,12 @@
 /**
  * Finds out where the stream began that a caller takes up.
  */
-import type {Clock, RoutedService, StreamOrigin} from '@briarpin/coordination';
+import type {RoutedService, StreamOrigin} from '@briarpin/coordination';
 
 import type {Admission} from '../admit_request/admit_request.js';
 import type {RequestMetadata} from '../dialect/dialect.js';
 import type {ErrorResponse} from '../error_response/error_response.js';
-import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
-
-/**
- * Time after the end of a request's own time in which its caller may still take
- * its stream up: the patience of callers, and clocks that differ.
- */
-const TAKE_UP_MILLISECONDS = 60_000;
+import type {ForwardingContext} from '../exchange/exchange.js';
 
 /**
  * `Retry-After` of a stream of unknown origin: the gateways that know it may be
@@ -83,18 +77,6 @@
     : {kind: 'resolved', service: originService, origin};
 }
 
-/** Computes how long the caller of a stream may still take it up. */
-export function computeStreamLifetime(
-  {arrivedAt, route, metadata}: Exchange,
-  clock: Clock,
-): number {
-  const allowed = Math.max(
-    route.timeoutMilliseconds,
-    metadata.deadlineMilliseconds ?? 0,
-  );
-  return arrivedAt + allowed + TAKE_UP_MILLISECONDS - clock.now();
-}
-
 function reject(reason: string): OriginResolution {
   return {
     kind: 'rejected',
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -32,8 +32,9 @@
   type OpenFailure,
   type AttemptFailure,
 } from '../open_result/open_result.js';
-import {computeStreamLifetime} from '../resolve_stream_origin/resolve_stream_origin.js';
+import {listMemoryHolders} from '../list_memory_holders/list_memory_holders.js';
 import {permitRetry} from '../permit_retry/permit_retry.js';
+import {pinStreamOrigin} from '../pin_stream_origin/pin_stream_origin.js';
 import type {StoppedRun} from '../run_evacuation/run_evacuation.js';
 import {RunMover} from '../run_mover/run_mover.js';
 import {
@@ -307,7 +308,8 @@
       mayHaveRun: true,
       wasSent: true,
     };
-    for (const endpoint of this.listHolders(stream, moved)) {
+    const holders = listMemoryHolders(stream.endpoint, moved, this.context);
+    for (const endpoint of holders) {
       await this.waitForPause(endpoint);
       opened = await this.open({endpoint, memorySource});
       this.logResumption(endpoint, opened);
@@ -318,27 +320,6 @@
     return opened;
   }
 
-  /**
-   * Lists the engines that hold the memory of a run that was stopped to be
-   * moved: the target before the source, but those that want no requests last.
-   */
-  private listHolders(
-    {endpoint: source}: EndpointStream,
-    moved: StoppedRun,
-  ): EndpointEntry[] {
-    const {endpoints, limits} = this.context;
-    const targets =
-      moved.kind === 'stopped_at_source' ||
-      endpoints.hasOtherSoftware(moved.target)
-        ? []
-        : [moved.target];
-    const holders =
-      moved.kind === 'source_lost' ? targets : [...targets, source];
-    const getPause = ({id}: EndpointEntry) =>
-      limits.computePauseMilliseconds(id);
-    return holders.sort((left, right) => getPause(left) - getPause(right));
-  }
-
   /** Waits while an endpoint wants no requests. */
   private async waitForPause({id}: EndpointEntry): Promise<void> {
     const {clock, limits} = this.context;
@@ -441,7 +422,11 @@
       releaseLoad: countedWork.release,
       onEvent: event => {
         countedWork.recordEvent();
-        if (stream.receivedEvents === 1 && !this.admitOrigin(stream)) {
+        if (
+          stream.receivedEvents === 1 &&
+          !pinStreamOrigin(exchange, context, endpoint)
+        ) {
+          stream.stop('the endpoint came back with other software');
           return undefined;
         }
         return this.writer.write(event);
@@ -450,37 +435,6 @@
     return {kind: 'leg', stream};
   }
 
-  /**
-   * Pins the stream to the software version of the endpoint that sends its first
-   * event, and stops the endpoint's stream if it now has another version than
-   * when it was selected.
-   *
-   * @returns False if its events must not reach the caller
-   */
-  private admitOrigin(stream: EndpointStream): boolean {
-    const {exchange, context} = this;
-    const {endpoint} = stream;
-    if (context.endpoints.hasOtherSoftware(endpoint)) {
-      stream.stop('the endpoint came back with other software');
-      return false;
-    }
-    if (exchange.origin !== undefined) {
-      return true;
-    }
-    const {service, softwareVersion} = endpoint;
-    const origin = {service, softwareVersion};
-    exchange.origin = origin;
-    const {requestId} = exchange.metadata;
-    if (requestId !== undefined && exchange.route.isResumable) {
-      context.streamOrigins.recordBegin({
-        requestId,
-        origin,
-        lifetimeMilliseconds: computeStreamLifetime(exchange, context.clock),
-      });
-    }
-    return true;
-  }
-
   private complete(remainder: Buffer): ExchangeResult {
     this.mover.discardMove();
     this.context.quarantine.recordCompleted(this.exchange);
