Look through known streams in parts, and select keepers without hashing names again

A gateway that starts is told the streams that it should keep: looking through 8,200 of them hashed 369 names for each, close to a second without a pause on every gateway. Now the hashes of names are kept, parts of 256 streams are 5 ms apart, and identifiers over 64 characters are neither kept nor asked for, as their datagrams would not fit.

--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -390,7 +390,9 @@
     onReport: report => {
       applyReport(report, components, mesh, state);
       if (report.isFirst) {
-        components.streamOrigins.informNewGateway(report.gateway);
+        runTask('stream_origins', logger, () =>
+          components.streamOrigins.informNewGateway(report.gateway),
+        );
       }
     },
     onMessage: (message, reply) =>
--- a/packages/forwarding/src/stream_origins/stream_origins.ts
+++ b/packages/forwarding/src/stream_origins/stream_origins.ts
@@ -3,7 +3,7 @@
  * so that a caller may take its stream up at any gateway.
  */
 import {
-  selectKeepers,
+  KeeperSelector,
   StreamOriginTable,
   type Clock,
   type KnownStream,
@@ -38,6 +38,15 @@
 /** Streams in a message, so that it fits into one Ethernet frame. */
 const MAXIMUM_STREAMS_IN_MESSAGE = 48;
 
+/** Streams that are looked through at once for a gateway that has started. */
+const STREAMS_IN_PART = 256;
+
+/** Time between two such parts. */
+const PART_PAUSE_MILLISECONDS = 5;
+
+/** Identifiers that are longer are not kept, so that messages stay small. */
+const MAXIMUM_IDENTIFIER_LENGTH = 64;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Connection to the other gateways; messages may be lost. */
@@ -79,6 +88,7 @@
 export class StreamOrigins {
   private readonly table: StreamOriginTable;
   private readonly beginRate: RecentRate;
+  private readonly selector = new KeeperSelector();
   private readonly pending = new Map<string, PendingQuestion>();
 
   /**
@@ -95,6 +105,9 @@
    * be called before its caller receives the first event.
    */
   recordBegin(stream: KnownStream): void {
+    if (stream.requestId.length > MAXIMUM_IDENTIFIER_LENGTH) {
+      return;
+    }
     this.table.record(stream);
     this.beginRate.record();
     const keepers = this.selectGateways(stream.requestId, this.countKeepers());
@@ -109,8 +122,8 @@
    */
   async find(requestId: string): Promise<StreamOrigin | undefined> {
     const known = this.table.find(requestId);
-    if (known !== undefined) {
-      return known.origin;
+    if (known !== undefined || requestId.length > MAXIMUM_IDENTIFIER_LENGTH) {
+      return known?.origin;
     }
     const startedAt = this.options.clock.now();
     await this.ask(requestId);
@@ -123,20 +136,22 @@
     return origin;
   }
 
-  /** Tells a gateway that has just started the origins that it should keep. */
-  informNewGateway(gateway: string): void {
-    const streams = this.table
-      .list()
-      .filter(({requestId}) =>
-        this.selectGateways(requestId, ASKED_GATEWAYS).includes(gateway),
-      );
-    for (
-      let start = 0;
-      start < streams.length;
-      start += MAXIMUM_STREAMS_IN_MESSAGE
-    ) {
-      const part = streams.slice(start, start + MAXIMUM_STREAMS_IN_MESSAGE);
-      this.send([gateway], {known: createGroups(part)});
+  /**
+   * Tells a gateway that has just started the origins that it should keep, in
+   * parts, so that neither side is busy for long.
+   *
+   * @returns Resolves when all are sent
+   */
+  async informNewGateway(gateway: string): Promise<void> {
+    const streams = this.table.list();
+    for (let start = 0; start < streams.length; start += STREAMS_IN_PART) {
+      const kept = streams
+        .slice(start, start + STREAMS_IN_PART)
+        .filter(({requestId}) =>
+          this.selectGateways(requestId, ASKED_GATEWAYS).includes(gateway),
+        );
+      this.sendInMessages(gateway, kept);
+      await this.options.clock.sleep(PART_PAUSE_MILLISECONDS);
     }
   }
 
@@ -219,7 +234,21 @@
     const {reachableGateways, knownGateways} = this.options.transport();
     const gateways =
       reachableGateways.length > 0 ? reachableGateways : knownGateways;
-    return selectKeepers(gateways, requestId, count);
+    return this.selector.select(gateways, requestId, count);
+  }
+
+  private sendInMessages(
+    gateway: string,
+    streams: readonly KnownStream[],
+  ): void {
+    for (
+      let start = 0;
+      start < streams.length;
+      start += MAXIMUM_STREAMS_IN_MESSAGE
+    ) {
+      const part = streams.slice(start, start + MAXIMUM_STREAMS_IN_MESSAGE);
+      this.send([gateway], {known: createGroups(part)});
+    }
   }
 
   private send(
