Compare the software of an endpoint whatever its entry says of its start

The version alone is compared now; a test of the registry, not seen red, covers an endpoint that comes back.

--- a/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
@@ -241,4 +241,13 @@
       assert.equal(registry.find('a'), undefined);
     });
   });
+
+  it('notices that an endpoint has come back with other software', () => {
+    const {registry} = createRegistry();
+    const before = createEntry('e');
+    registry.put(before);
+    assert.equal(registry.hasOtherSoftware(before), false);
+    registry.put({...before, startedAt: 2, softwareVersion: 'v2'});
+    assert.equal(registry.hasOtherSoftware(before), true);
+  });
 });
--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -268,13 +268,9 @@
    * Returns whether an endpoint has come back under its name with other
    * software since the entry was read.
    */
-  hasOtherSoftware({id, startedAt, softwareVersion}: EndpointEntry): boolean {
+  hasOtherSoftware({id, softwareVersion}: EndpointEntry): boolean {
     const current = this.find(id);
-    return (
-      current !== undefined &&
-      current.startedAt !== startedAt &&
-      current.softwareVersion !== softwareVersion
-    );
+    return current !== undefined && current.softwareVersion !== softwareVersion;
   }
 
   /**
