Log how late a request comes to a stopping gateway, and on which connection

The log could not tell the hypotheses of the incident apart: no line said on what connection a request came, nor what is cut at the end of the process. Now the lines request and refused have, while the gateway stops: stopping (ms since the signal), connection_requests and connection_age; and request_cut names each request whose connection is closed before its answer. No other change: the flag of the shutdown became a small class that also knows its age.

--- a/packages/daemon/src/machine/machine_state.ts
+++ b/packages/daemon/src/machine/machine_state.ts
@@ -27,8 +27,6 @@
   readonly suspicionTable: SuspicionTable;
   /** Suspicions that changed here recently; included in reports. */
   readonly recentSuspicions: ExpiringList<SuspicionRecord>;
-  /** True once a graceful shutdown has started. */
-  isLeaving: boolean;
   /** Time of the last read of the endpoints, on the monotonic clock. */
   endpointsReadAt: number;
 }
--- a/packages/daemon/src/machine/start_servers.ts
+++ b/packages/daemon/src/machine/start_servers.ts
@@ -4,6 +4,7 @@
 import type http from 'node:http';
 import type {AddressInfo} from 'node:net';
 
+import type {Shutdown} from '@briarpin/forwarding';
 import type {InstanceSettings} from '@briarpin/machines';
 
 import type {Telemetry} from './create_telemetry.js';
@@ -39,16 +40,18 @@
  * @param settings - Settings of the instance
  * @param state - State that determines readiness
  * @param telemetry - Provides the metrics
+ * @param shutdown - A gateway that shuts down is not ready
  * @returns The listening servers; rejects when an address cannot be bound
  */
 export async function startServers(
   settings: InstanceSettings,
-  state: Pick<MachineState, 'storeState' | 'stalenessTracker' | 'isLeaving'>,
+  state: Pick<MachineState, 'storeState' | 'stalenessTracker'>,
   {metrics}: Pick<Telemetry, 'metrics'>,
+  shutdown: Pick<Shutdown, 'hasBegun'>,
 ): Promise<RunningServers> {
   const {storeState, stalenessTracker} = state;
   const isReady = () =>
-    !state.isLeaving &&
+    !shutdown.hasBegun &&
     storeState.hasEndpoints &&
     storeState.configuration !== undefined &&
     stalenessTracker.ageMilliseconds() <
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -22,6 +22,7 @@
   EvacuationTurn,
   GatewayMesh,
   RetryBudgets,
+  Shutdown,
   StreamOrigins,
   type ForwardingContext,
   type OriginTransport,
@@ -130,7 +131,6 @@
       MONOTONIC_CLOCK,
       SUSPICION_REPORT_MILLISECONDS,
     ),
-    isLeaving: false,
     endpointsReadAt: Number.NEGATIVE_INFINITY,
   };
   const telemetry = createTelemetry(settings, logStream, {
@@ -173,7 +173,12 @@
   });
   const gateway = createGateway(settings, components, state);
   const mesh = createMesh(settings, components, gateway, state);
-  const servers = await startServers(settings, state, telemetry);
+  const servers = await startServers(
+    settings,
+    state,
+    telemetry,
+    components.shutdown,
+  );
   const callers = await gateway.listen(settings.callerAddress);
   const meshPort = await mesh.listen();
   const meshRun = mesh.run(state.abortController.signal);
@@ -193,10 +198,10 @@
       logger.info('settings_reloaded', {changed: !isSame});
     },
     shutDown: async reason => {
-      if (state.isLeaving) {
+      if (components.shutdown.hasBegun) {
         return;
       }
-      state.isLeaving = true;
+      components.shutdown.begin();
       logger.info('leaving', {reason, open: gateway.openRequests});
       await drainGateway(settings, components, gateway);
       logger.info('ended', {open: gateway.openRequests});
@@ -283,7 +288,7 @@
 function createForwardingContext(
   settings: InstanceSettings,
   {logger, histograms, metrics}: Telemetry,
-  state: Pick<MachineState, 'isLeaving' | 'suspicionTable'>,
+  state: Pick<MachineState, 'suspicionTable'>,
   {
     onLeaving,
     onReady,
@@ -350,7 +355,7 @@
     histograms,
     metrics,
     onWorkStarted,
-    isDraining: () => state.isLeaving,
+    shutdown: new Shutdown(clock),
   };
 }
 
--- a/packages/forwarding/src/create_exchange/create_exchange.ts
+++ b/packages/forwarding/src/create_exchange/create_exchange.ts
@@ -10,7 +10,13 @@
 /** What a gateway has received of a request. */
 type ReceivedRequest = Pick<
   Exchange,
-  'request' | 'response' | 'metadata' | 'body' | 'arrivedAt' | 'origin'
+  | 'request'
+  | 'response'
+  | 'metadata'
+  | 'body'
+  | 'arrivedAt'
+  | 'origin'
+  | 'connectionPosition'
 >;
 
 /**
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -18,6 +18,7 @@
   HistogramRegistry,
 } from '@briarpin/telemetry';
 
+import type {ConnectionPosition} from '../caller_connections/caller_connections.js';
 import type {Dialect, RequestMetadata} from '../dialect/dialect.js';
 import type {CrashQuarantine} from '../crash_quarantine/crash_quarantine.js';
 import type {EndpointClient} from '../endpoint_client/endpoint_client.js';
@@ -25,6 +26,7 @@
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
 import {listSharedParts} from '../list_shared_parts/list_shared_parts.js';
 import type {RetryBudgets} from '../retry_budgets/retry_budgets.js';
+import type {Shutdown} from '../shutdown/shutdown.js';
 import type {StreamOrigins} from '../stream_origins/stream_origins.js';
 import {
   sendErrorResponse,
@@ -53,8 +55,7 @@
   readonly metrics: Pick<GatewayMetrics, 'countRequest'>;
   /** Called when work starts that other gateways must count for placement. */
   readonly onWorkStarted: () => void;
-  /** True once the gateway has received the request to stop. */
-  readonly isDraining: () => boolean;
+  readonly shutdown: Shutdown;
 }
 
 /** One admitted request. */
@@ -68,6 +69,8 @@
   readonly body: Buffer;
   /** Returns the fingerprint, which is the same when the request comes again. */
   readonly fingerprint: () => string;
+  /** Place of the request on its caller's connection. */
+  readonly connectionPosition: ConnectionPosition;
   /** Arrival time in milliseconds of the gateway's clock. */
   readonly arrivedAt: number;
   /** The earlier of the caller's deadline and the route's timeout. */
@@ -177,7 +180,7 @@
   if (!response.headersSent && !response.destroyed) {
     sendErrorResponse(response, errorResponse, {
       dialect: context.dialect,
-      closeConnection: context.isDraining(),
+      closeConnection: context.shutdown.hasBegun,
     });
   }
   return {
@@ -207,12 +210,12 @@
  */
 export function sendBufferedResponse(
   {response, arrivedAt}: Exchange,
-  {dialect, clock, isDraining}: ForwardingContext,
+  {dialect, clock, shutdown}: ForwardingContext,
   {status, headers: rawHeaders, body}: BufferedResponse,
 ): ExchangeResult {
   const headers = dialect.buildResponseHeaders(rawHeaders);
   headers.push('Content-Length', String(body.length));
-  if (isDraining()) {
+  if (shutdown.hasBegun) {
     headers.push('Connection', 'close');
   }
   response.writeHead(status, headers);
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -14,7 +14,12 @@
   type AdmissionBounds,
   type ConfigurationSnapshot,
 } from '../admit_request/admit_request.js';
+import {
+  CallerConnections,
+  type ConnectionPosition,
+} from '../caller_connections/caller_connections.js';
 import {createExchange} from '../create_exchange/create_exchange.js';
+import {describeConnection} from '../describe_connection/describe_connection.js';
 import {Evacuator} from '../evacuator/evacuator.js';
 import type {RequestMetadata} from '../dialect/dialect.js';
 import {
@@ -59,13 +64,23 @@
   readonly bounds: AdmissionBounds;
 }
 
+/** A request in progress. */
+interface OpenRequest {
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  readonly metadata: RequestMetadata;
+  readonly arrivedAt: number;
+  readonly connectionPosition: ConnectionPosition;
+}
+
 /** Accepts requests of callers and forwards them to endpoints. */
 export class ForwardingGateway {
   private readonly server: http.Server;
   private readonly sessions = new Set<StreamSession>();
   /** Moves streams off endpoints that are shutting down. */
   readonly evacuator: Evacuator;
-  private openCount = 0;
+  private readonly open = new Set<OpenRequest>();
+  private readonly connections: CallerConnections;
   private maximumBodyBytes = DEFAULT_MAXIMUM_BODY_BYTES;
 
   /**
@@ -76,6 +91,7 @@
     private readonly context: ForwardingContext,
     private readonly options: ForwardingGatewayOptions,
   ) {
+    this.connections = new CallerConnections(context.clock);
     this.evacuator = new Evacuator(this.sessions, context);
     this.server = http.createServer(
       {
@@ -85,11 +101,12 @@
       },
       (request, response) => this.handleRequest(request, response),
     );
+    this.server.on('connection', socket => this.connections.add(socket));
   }
 
   /** Number of requests in progress. */
   get openRequests(): number {
-    return this.openCount;
+    return this.open.size;
   }
 
   /**
@@ -136,13 +153,14 @@
   async drain(timeoutMilliseconds: number): Promise<void> {
     const {clock} = this.context;
     const timeoutAt = clock.now() + timeoutMilliseconds;
-    while (this.openCount > 0 && clock.now() < timeoutAt) {
+    while (this.open.size > 0 && clock.now() < timeoutAt) {
       await clock.sleep(DRAIN_POLL_MILLISECONDS);
     }
   }
 
   /** Closes all connections to callers and endpoints. */
   close(): void {
+    this.open.forEach(open => this.logCutRequest(open));
     this.server.closeAllConnections();
     this.context.client.close();
   }
@@ -151,35 +169,38 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): void {
-    const {logger} = this.context;
+    const {logger, clock, dialect} = this.context;
     request.on('error', error =>
       logger.debug('caller_connection', {message: error.message}),
     );
     response.on('error', error =>
       logger.debug('caller_connection', {message: error.message}),
     );
-    this.openCount += 1;
-    response.once('close', () => (this.openCount -= 1));
-    runTask('request', logger, () => this.serve(request, response));
+    const open = {
+      request,
+      response,
+      metadata: dialect.readRequest(request.headers),
+      arrivedAt: clock.now(),
+      connectionPosition: this.connections.recordRequest(request.socket),
+    };
+    this.open.add(open);
+    response.once('close', () => this.open.delete(open));
+    runTask('request', logger, () => this.serve(open));
   }
 
-  private async serve(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): Promise<void> {
+  private async serve(open: OpenRequest): Promise<void> {
     const {context} = this;
-    const arrivedAt = context.clock.now();
-    const metadata = context.dialect.readRequest(request.headers);
+    const {request, response, metadata} = open;
     const admission = this.admit(request, metadata);
     if (admission.kind === 'answered') {
-      this.rejectRequest(response, metadata, admission.errorResponse);
+      this.rejectRequest(open, admission.errorResponse);
       return;
     }
     const read = await readBody(request, this.maximumBodyBytes);
     if (read.kind !== 'whole') {
       if (read.kind === 'too_large') {
         const reason = 'the body is larger than operators allow';
-        this.rejectRequest(response, metadata, {
+        this.rejectRequest(open, {
           kind: 'rejected',
           status: 413,
           reason,
@@ -194,7 +215,7 @@
         this.options.configurationSnapshot().configuration?.services.get(name),
     });
     if (resolution.kind === 'rejected') {
-      this.rejectRequest(response, metadata, resolution.errorResponse);
+      this.rejectRequest(open, resolution.errorResponse);
       return;
     }
     if (response.destroyed) {
@@ -202,7 +223,7 @@
     }
     const {service, origin} = resolution;
     const exchange = createExchange(
-      {request, response, metadata, body, arrivedAt, origin},
+      {...open, body, origin},
       {...admission, service},
       context.clock,
     );
@@ -235,7 +256,7 @@
     if (
       admission.kind === 'admitted' &&
       admission.route.isStream &&
-      context.isDraining()
+      context.shutdown.hasBegun
     ) {
       const reason = 'the gateway stops before a stream would end';
       const retryAfterMilliseconds = DRAINING_RETRY_MILLISECONDS;
@@ -270,8 +291,7 @@
   }
 
   private rejectRequest(
-    response: http.ServerResponse,
-    metadata: RequestMetadata,
+    {response, metadata, connectionPosition}: OpenRequest,
     errorResponse: ErrorResponse,
   ): void {
     const {context} = this;
@@ -284,10 +304,24 @@
       kind: errorResponse.kind,
       reason: errorResponse.reason,
       age: Math.round(this.options.configurationSnapshot().ageMilliseconds),
+      ...describeConnection(connectionPosition, context.shutdown),
     });
     sendErrorResponse(response, errorResponse, {
       dialect: context.dialect,
-      closeConnection: errorResponse.kind === 'not_run' || context.isDraining(),
+      closeConnection:
+        errorResponse.kind === 'not_run' || context.shutdown.hasBegun,
+    });
+  }
+
+  /** Logs a request whose connection is closed before it has its answer. */
+  private logCutRequest(open: OpenRequest): void {
+    const {clock, logger, shutdown} = this.context;
+    logger.warn('request_cut', {
+      request: open.metadata.requestId,
+      path: open.request.url,
+      answered: open.response.headersSent,
+      milliseconds: Math.round(clock.now() - open.arrivedAt),
+      ...describeConnection(open.connectionPosition, shutdown),
     });
   }
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -20,5 +20,6 @@
 export * from './retry_budgets/retry_budgets.js';
 export * from './run_evacuation/run_evacuation.js';
 export * from './run_mover/run_mover.js';
+export * from './shutdown/shutdown.js';
 export * from './stream_origins/stream_origins.js';
 export * from './stream_session/stream_session.js';
--- a/packages/forwarding/src/record_exchange/record_exchange.ts
+++ b/packages/forwarding/src/record_exchange/record_exchange.ts
@@ -2,6 +2,7 @@
  * Records an ended request in the log, the metrics and the histograms.
  */
 import type {ConfigurationSnapshot} from '../admit_request/admit_request.js';
+import {describeConnection} from '../describe_connection/describe_connection.js';
 import type {
   Exchange,
   ExchangeResult,
@@ -21,13 +22,14 @@
   result: ExchangeResult,
   context: Pick<
     ForwardingContext,
-    'clock' | 'metrics' | 'histograms' | 'logger'
+    'clock' | 'metrics' | 'histograms' | 'logger' | 'shutdown'
   >,
   snapshot: ConfigurationSnapshot,
 ): void {
   const milliseconds = Math.round(context.clock.now() - exchange.arrivedAt);
   context.metrics.countRequest(result.outcome, result.status);
-  logResult(exchange, result, {logger: context.logger, snapshot, milliseconds});
+  const {logger, shutdown} = context;
+  logResult(exchange, result, {logger, shutdown, snapshot, milliseconds});
   recordLatencies(exchange, result, {
     histograms: context.histograms,
     milliseconds,
@@ -35,17 +37,19 @@
 }
 
 function logResult(
-  {metadata, route, organisation, triedEndpointIds}: Exchange,
+  exchange: Exchange,
   {outcome, status, reason, firstByteMilliseconds}: ExchangeResult,
   {
     logger,
+    shutdown,
     snapshot: {configuration, ageMilliseconds},
     milliseconds,
-  }: Pick<ForwardingContext, 'logger'> & {
+  }: Pick<ForwardingContext, 'logger' | 'shutdown'> & {
     readonly snapshot: ConfigurationSnapshot;
     readonly milliseconds: number;
   },
 ): void {
+  const {metadata, route, organisation, triedEndpointIds} = exchange;
   // Warnings are exempt from the log's budget, so every failure is logged.
   const level = outcome === 'done' ? 'info' : 'warn';
   logger[level]('request', {
@@ -65,6 +69,7 @@
         ? undefined
         : Math.round(firstByteMilliseconds),
     milliseconds,
+    ...describeConnection(exchange.connectionPosition, shutdown),
   });
 }
 
--- a/packages/forwarding/src/stream_writer/stream_writer.ts
+++ b/packages/forwarding/src/stream_writer/stream_writer.ts
@@ -28,7 +28,7 @@
     private readonly exchange: Exchange,
     private readonly context: Pick<
       ForwardingContext,
-      'clock' | 'dialect' | 'isDraining'
+      'clock' | 'dialect' | 'shutdown'
     >,
   ) {}
 
@@ -97,7 +97,7 @@
     const headers = context.dialect.buildResponseHeaders(
       firstResponse.rawHeaders,
     );
-    if (context.isDraining()) {
+    if (context.shutdown.hasBegun) {
       headers.push('Connection', 'close');
     }
     response.writeHead(firstResponse.statusCode ?? 0, headers);
