Answer every request that a stopping gateway has taken before it ends

What callers saw: a call sent 7.7 s after SIGTERM ran, was cut and got no answer (LOST).

Cause: the end of the process was known to nobody but the timer that brings it. Connections that close() and closeIdleConnections() do not know as idle (those that never carried a request, those whose stream began before the signal) stayed open and were served; and what ran when the time was over was cut, as no request, no attempt and no wait had that time as its limit. Class: a deadline of the process that its work does not know.

Ruled out: new connections after the listener was closed (none was accepted in the tests); a late end of the process (it comes 3.75 s after the signal, of 4).

The time of the answers limits every attempt, retry and deadline; when it comes, all requests without an answer are interrupted, wherever they wait, and get a whole answer: "not run" while nothing was sent, else a failure; a request whose head is incomplete gets 503. The gateway tracks its connections itself, and closes each that is not in use once it has stopped listening; a new one keeps a second for its first request. The process ends when no connection is left. Requests that are sent before the answer to the one before (pipelined) wait for it, and are not run if that answer closes the connection.

Why it works: after the time of the answers nothing is sent any more, and the interval between it and the end is for writing only.

--- a/packages/daemon/src/machine/drain_gateway.ts
+++ b/packages/daemon/src/machine/drain_gateway.ts
@@ -1,32 +1,26 @@
 /**
  * Drains a gateway before a graceful shutdown.
  */
-import type {ForwardingGateway, ForwardingContext} from '@briarpin/forwarding';
-import type {InstanceSettings} from '@briarpin/machines';
-
-/** Time in which the platform deregisters a machine that is not ready. */
-const DEREGISTRATION_DELAY_MILLISECONDS = 3_000;
-
-/** Time reserved before SIGKILL; open requests are abandoned at its start. */
-const SHUTDOWN_RESERVE_MILLISECONDS = 250;
+import type {ForwardingGateway, Shutdown} from '@briarpin/forwarding';
 
 /**
  * Drains a gateway: continues to serve callers until the platform has
- * deregistered the machine, then stops listening and waits for open requests.
+ * deregistered the instance, then stops listening and waits for open requests.
+ * What is not answered when the time is nearly over is answered with a failure.
  *
- * @param settings - Provides the grace period of a shutdown
- * @param components - Provides the clock
+ * @param shutdown - Times of the steps
  * @param gateway - Gateway to drain
- * @returns Resolves when no request is open or the grace period, less the
- *     reserve, has passed
+ * @returns Resolves when no connection is open or the time is over
  */
 export async function drainGateway(
-  {bounds}: InstanceSettings,
-  {clock}: Pick<ForwardingContext, 'clock'>,
-  gateway: Pick<ForwardingGateway, 'stopListening' | 'drain'>,
+  shutdown: Shutdown,
+  gateway: Pick<
+    ForwardingGateway,
+    'stopListening' | 'drain' | 'answerOpenRequests'
+  >,
 ): Promise<void> {
-  const grace = bounds.stopGraceMilliseconds - SHUTDOWN_RESERVE_MILLISECONDS;
-  await clock.sleep(DEREGISTRATION_DELAY_MILLISECONDS);
+  await shutdown.waitUntil(() => shutdown.remainingListeningMilliseconds);
   gateway.stopListening();
-  await gateway.drain(grace - DEREGISTRATION_DELAY_MILLISECONDS);
+  await gateway.drain();
+  await gateway.answerOpenRequests();
 }
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -201,9 +201,9 @@
       if (components.shutdown.hasBegun) {
         return;
       }
-      components.shutdown.begin();
+      components.shutdown.begin(settings.bounds.stopGraceMilliseconds);
       logger.info('leaving', {reason, open: gateway.openRequests});
-      await drainGateway(settings, components, gateway);
+      await drainGateway(components.shutdown, gateway);
       logger.info('ended', {open: gateway.openRequests});
       await stop();
     },
--- a/packages/forwarding/src/create_exchange/create_exchange.ts
+++ b/packages/forwarding/src/create_exchange/create_exchange.ts
@@ -17,7 +17,10 @@
   | 'arrivedAt'
   | 'origin'
   | 'connectionPosition'
->;
+> & {
+  /** Aborted when the request must end. */
+  readonly controller: AbortController;
+};
 
 /**
  * Creates the exchange of a request and starts the timer of its deadline.
@@ -27,7 +30,7 @@
  * @param clock - Clock of the deadline
  */
 export function createExchange(
-  received: ReceivedRequest,
+  {controller, ...received}: ReceivedRequest,
   {route, service, organisation}: Omit<Admission & {kind: 'admitted'}, 'kind'>,
   clock: Clock,
 ): Exchange {
@@ -36,15 +39,11 @@
     received.metadata.deadlineMilliseconds ?? Number.POSITIVE_INFINITY,
   );
   const expiresAt = received.arrivedAt + allowedMilliseconds;
-  const controller = new AbortController();
   const timer = setTimeout(
     () => controller.abort(),
     Math.max(0, expiresAt - clock.now()),
   );
-  received.response.once('close', () => {
-    clearTimeout(timer);
-    controller.abort();
-  });
+  received.response.once('close', () => clearTimeout(timer));
   const {signal} = controller;
   const fingerprint = once(() =>
     computeRequestFingerprint({
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -95,12 +95,21 @@
   readonly firstByteMilliseconds?: number;
 }
 
-/** Returns the milliseconds until an exchange expires; 0 once it has. */
+/**
+ * Returns the milliseconds until an exchange must be answered: until it expires
+ * or the gateway ends; 0 once they have passed.
+ */
 export function computeRemainingMilliseconds(
   exchange: Exchange,
-  clock: Clock,
+  {clock, shutdown}: Pick<ForwardingContext, 'clock' | 'shutdown'>,
 ): number {
-  return Math.max(0, exchange.expiresAt - clock.now());
+  return Math.max(
+    0,
+    Math.min(
+      exchange.expiresAt - clock.now(),
+      shutdown.remainingAnswerMilliseconds,
+    ),
+  );
 }
 
 /**
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -194,10 +194,7 @@
       body.length,
       {
         endpointId: endpoint.id,
-        remainingMilliseconds: computeRemainingMilliseconds(
-          exchange,
-          context.clock,
-        ),
+        remainingMilliseconds: computeRemainingMilliseconds(exchange, context),
         organisation: exchange.organisation?.name,
       },
     ),
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -14,10 +14,7 @@
   type AdmissionBounds,
   type ConfigurationSnapshot,
 } from '../admit_request/admit_request.js';
-import {
-  CallerConnections,
-  type ConnectionPosition,
-} from '../caller_connections/caller_connections.js';
+import {CallerConnections} from '../caller_connections/caller_connections.js';
 import {createExchange} from '../create_exchange/create_exchange.js';
 import {describeConnection} from '../describe_connection/describe_connection.js';
 import {Evacuator} from '../evacuator/evacuator.js';
@@ -34,6 +31,7 @@
   getHttpStatus,
   type ErrorResponse,
 } from '../error_response/error_response.js';
+import {OpenRequest} from '../open_request/open_request.js';
 import {readBody} from '../read_body/read_body.js';
 import {recordExchange} from '../record_exchange/record_exchange.js';
 import {resolveStreamOrigin} from '../resolve_stream_origin/resolve_stream_origin.js';
@@ -51,11 +49,21 @@
 /** Interval at which connections are checked for timeouts. */
 const CONNECTION_CHECK_MILLISECONDS = 1_000;
 
-/** Interval at which open requests are counted while the gateway drains. */
-const DRAIN_POLL_MILLISECONDS = 20;
+/**
+ * Age up to which a connection that has carried no request stays open when the
+ * gateway stops, as its first request may be on its way.
+ */
+const NEW_CONNECTION_MILLISECONDS = 1_000;
+
+/** `Retry-After` of a request that a stopping gateway rejects. */
+const STOPPING_RETRY_MILLISECONDS = 50;
 
-/** `Retry-After` of a stream that a draining gateway rejects. */
-const DRAINING_RETRY_MILLISECONDS = 50;
+/** Response to a request that the gateway cannot serve before it ends. */
+const STOPPING_RESPONSE = {
+  kind: 'not_run',
+  reason: 'the gateway stops before the request would end',
+  retryAfterMilliseconds: STOPPING_RETRY_MILLISECONDS,
+} as const satisfies ErrorResponse;
 
 /** Options of {@link ForwardingGateway}. */
 export interface ForwardingGatewayOptions {
@@ -64,15 +72,6 @@
   readonly bounds: AdmissionBounds;
 }
 
-/** A request in progress. */
-interface OpenRequest {
-  readonly request: http.IncomingMessage;
-  readonly response: http.ServerResponse;
-  readonly metadata: RequestMetadata;
-  readonly arrivedAt: number;
-  readonly connectionPosition: ConnectionPosition;
-}
-
 /** Accepts requests of callers and forwards them to endpoints. */
 export class ForwardingGateway {
   private readonly server: http.Server;
@@ -143,19 +142,36 @@
     }));
   }
 
-  /** Accepts no more connections, and closes idle ones. */
+  /** Accepts no more connections, and closes those that are not in use. */
   stopListening(): void {
     this.server.close();
-    this.server.closeIdleConnections();
+    this.connections.closeIdle(NEW_CONNECTION_MILLISECONDS);
   }
 
-  /** Waits until no request is in progress, or until the timeout. */
-  async drain(timeoutMilliseconds: number): Promise<void> {
-    const {clock} = this.context;
-    const timeoutAt = clock.now() + timeoutMilliseconds;
-    while (this.open.size > 0 && clock.now() < timeoutAt) {
-      await clock.sleep(DRAIN_POLL_MILLISECONDS);
-    }
+  /**
+   * Waits until all requests are answered and all connections are closed.
+   *
+   * @returns Resolves then, or when only the answers to open requests are left
+   *     to be sent in the time that remains
+   */
+  async drain(): Promise<void> {
+    const {shutdown} = this.context;
+    await shutdown.waitUntil(
+      () => shutdown.remainingAnswerMilliseconds,
+      () => this.closeUnusedConnections(),
+    );
+  }
+
+  /** Answers all requests that have no answer yet, and sends the answers. */
+  async answerOpenRequests(): Promise<void> {
+    const {shutdown} = this.context;
+    this.connections.closeIdle(0);
+    this.connections.answerPartialRequests(this.formatPartialResponse());
+    this.open.forEach(open => open.interrupt());
+    await shutdown.waitUntil(
+      () => shutdown.remainingMilliseconds,
+      () => this.closeUnusedConnections(),
+    );
   }
 
   /** Closes all connections to callers and endpoints. */
@@ -165,6 +181,12 @@
     this.context.client.close();
   }
 
+  /** Closes the connections not in use; returns whether none is left. */
+  private closeUnusedConnections(): boolean {
+    this.connections.closeIdle(NEW_CONNECTION_MILLISECONDS);
+    return this.connections.count === 0;
+  }
+
   private handleRequest(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -176,13 +198,16 @@
     response.on('error', error =>
       logger.debug('caller_connection', {message: error.message}),
     );
-    const open = {
+    const open = new OpenRequest({
       request,
       response,
       metadata: dialect.readRequest(request.headers),
       arrivedAt: clock.now(),
-      connectionPosition: this.connections.recordRequest(request.socket),
-    };
+      connectionPosition: this.connections.recordRequest(
+        request.socket,
+        response,
+      ),
+    });
     this.open.add(open);
     response.once('close', () => this.open.delete(open));
     runTask('request', logger, () => this.serve(open));
@@ -190,25 +215,27 @@
 
   private async serve(open: OpenRequest): Promise<void> {
     const {context} = this;
-    const {request, response, metadata} = open;
+    const {request, response, metadata, controller} = open;
+    if (!(await open.waitForTurn())) {
+      return;
+    }
     const admission = this.admit(request, metadata);
     if (admission.kind === 'answered') {
       this.rejectRequest(open, admission.errorResponse);
       return;
     }
-    const read = await readBody(request, this.maximumBodyBytes);
-    if (read.kind !== 'whole') {
-      if (read.kind === 'too_large') {
-        const reason = 'the body is larger than operators allow';
-        this.rejectRequest(open, {
-          kind: 'rejected',
-          status: 413,
-          reason,
-        });
-      }
+    const read = await readBody(request, {
+      maximumBytes: this.maximumBodyBytes,
+      signal: controller.signal,
+    });
+    if (read.kind === 'too_large') {
+      const reason = 'the body is larger than operators allow';
+      this.rejectRequest(open, {kind: 'rejected', status: 413, reason});
+      return;
+    }
+    if (read.kind === 'broken') {
       return;
     }
-    const {body} = read;
     const resolution = await resolveStreamOrigin(metadata, admission, {
       ...context,
       findService: name =>
@@ -221,9 +248,23 @@
     if (response.destroyed) {
       return;
     }
+    if (read.kind === 'interrupted' || controller.signal.aborted) {
+      this.rejectRequest(open, STOPPING_RESPONSE);
+      return;
+    }
     const {service, origin} = resolution;
+    const {connectionPosition, arrivedAt} = open;
     const exchange = createExchange(
-      {...open, body, origin},
+      {
+        request,
+        response,
+        metadata,
+        connectionPosition,
+        arrivedAt,
+        controller,
+        body: read.body,
+        origin,
+      },
       {...admission, service},
       context.clock,
     );
@@ -253,19 +294,13 @@
       options.bounds,
       context.random,
     );
+    const {hasBegun, remainingAnswerMilliseconds} = context.shutdown;
     if (
       admission.kind === 'admitted' &&
-      admission.route.isStream &&
-      context.shutdown.hasBegun
+      hasBegun &&
+      (admission.route.isStream || remainingAnswerMilliseconds <= 0)
     ) {
-      const reason = 'the gateway stops before a stream would end';
-      const retryAfterMilliseconds = DRAINING_RETRY_MILLISECONDS;
-      const errorResponse: ErrorResponse = {
-        kind: 'not_run',
-        reason,
-        retryAfterMilliseconds,
-      };
-      return {kind: 'answered', errorResponse};
+      return {kind: 'answered', errorResponse: STOPPING_RESPONSE};
     }
     return admission;
   }
@@ -324,4 +359,20 @@
       ...describeConnection(open.connectionPosition, shutdown),
     });
   }
+
+  /** Formats the response to a request whose head is incomplete. */
+  private formatPartialResponse(): string {
+    const {dialect} = this.context;
+    const {retryAfterMilliseconds} = STOPPING_RESPONSE;
+    const [name = '', value = ''] = dialect.buildRetryAfterHeaders(
+      retryAfterMilliseconds,
+    );
+    const lines = [
+      'HTTP/1.1 503 Service Unavailable',
+      `${name}: ${value}`,
+      'Content-Length: 0',
+      'Connection: close',
+    ];
+    return `${lines.join('\r\n')}\r\n\r\n`;
+  }
 }
--- a/packages/forwarding/src/permit_retry/permit_retry.ts
+++ b/packages/forwarding/src/permit_retry/permit_retry.ts
@@ -45,10 +45,7 @@
       notRun: isNotRun,
       idempotent: isIdempotent,
       delivered: false,
-      remainingMilliseconds: computeRemainingMilliseconds(
-        exchange,
-        context.clock,
-      ),
+      remainingMilliseconds: computeRemainingMilliseconds(exchange, context),
       untriedEndpoints: findUntriedEndpoints(exchange, context).length,
     });
   if (!isAllowed || !wasSent) {
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -381,7 +381,7 @@
           endpointId: endpoint.id,
           remainingMilliseconds: computeRemainingMilliseconds(
             exchange,
-            context.clock,
+            context,
           ),
           organisation: exchange.organisation?.name,
           priority: resolvePriority(exchange),
