Listen as long as callers are sent to a stopping gateway

A gateway that stops kept its listener for 3 s and its process, for its streams, for 7.75 s.

Change: the listener stays until half a second before the last answers. The platform sends callers elsewhere once the instance is deregistered; if it does not, as no other instance is ready, they are served, each on a connection that closes with its answer. A gateway without a connection after the deregistration ends at once, as before.

--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -40,7 +40,6 @@
 import {computeRoundTripMilliseconds} from './compute_round_trip_milliseconds.js';
 import {createTelemetry, type Telemetry} from './create_telemetry.js';
 import {createReport, applyReport} from './exchange_reports.js';
-import {drainGateway} from './drain_gateway.js';
 import {encodeGateway, followStore, GATEWAYS_TOPIC} from './follow_store.js';
 import type {MachineState} from './machine_state.js';
 import {ExpiringList} from './expiring_list.js';
@@ -185,7 +184,6 @@
   startFollowingStore(settings, components, {state, gateway, mesh, meshPort});
   const stop = async () => {
     state.abortController.abort();
-    gateway.stopListening();
     gateway.close();
     servers.close();
     await meshRun;
@@ -203,7 +201,7 @@
       }
       components.shutdown.begin(settings.bounds.stopGraceMilliseconds);
       logger.info('leaving', {reason, open: gateway.openRequests});
-      await drainGateway(components.shutdown, gateway);
+      await gateway.drain();
       logger.info('ended', {open: gateway.openRequests});
       await stop();
     },
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -142,28 +142,33 @@
     }));
   }
 
-  /** Accepts no more connections, and closes those that are not in use. */
-  stopListening(): void {
-    this.server.close();
-    this.connections.closeIdle(NEW_CONNECTION_MILLISECONDS);
-  }
-
   /**
-   * Waits until all requests are answered and all connections are closed.
+   * Shuts down: serves callers until the platform has deregistered the instance,
+   * and then, as long as callers are still sent here, up to the time at which
+   * the requests that are left have to be answered.
    *
-   * @returns Resolves then, or when only the answers to open requests are left
-   *     to be sent in the time that remains
+   * @returns Resolves when no connection is open or the time is over
    */
   async drain(): Promise<void> {
     const {shutdown} = this.context;
+    await shutdown.waitUntil(
+      () => shutdown.remainingDeregistrationMilliseconds,
+    );
+    const isUnused = () => this.closeUnusedConnections();
+    await shutdown.waitUntil(
+      () => shutdown.remainingListeningMilliseconds,
+      isUnused,
+    );
+    this.server.close();
     await shutdown.waitUntil(
       () => shutdown.remainingAnswerMilliseconds,
-      () => this.closeUnusedConnections(),
+      isUnused,
     );
+    await this.answerOpenRequests();
   }
 
   /** Answers all requests that have no answer yet, and sends the answers. */
-  async answerOpenRequests(): Promise<void> {
+  private async answerOpenRequests(): Promise<void> {
     const {shutdown} = this.context;
     this.connections.closeIdle(0);
     this.connections.answerPartialRequests(this.formatPartialResponse());
@@ -174,8 +179,9 @@
     );
   }
 
-  /** Closes all connections to callers and endpoints. */
+  /** Stops listening, and closes all connections to callers and endpoints. */
   close(): void {
+    this.server.close();
     this.open.forEach(open => this.logCutRequest(open));
     this.server.closeAllConnections();
     this.context.client.close();
--- a/packages/forwarding/src/shutdown/shutdown.ts
+++ b/packages/forwarding/src/shutdown/shutdown.ts
@@ -33,6 +33,14 @@
       : this.clock.now() - this.startedAt;
   }
 
+  /**
+   * Time until the platform sends connections to other instances; infinite while
+   * no shutdown is planned.
+   */
+  get remainingDeregistrationMilliseconds(): number {
+    return this.computeRemaining(schedule => schedule.deregisteredMilliseconds);
+  }
+
   /** Time until new connections are refused; infinite while none is planned. */
   get remainingListeningMilliseconds(): number {
     return this.computeRemaining(
--- a/packages/scheduling/src/compute_shutdown_schedule/compute_shutdown_schedule.test.ts
+++ b/packages/scheduling/src/compute_shutdown_schedule/compute_shutdown_schedule.test.ts
@@ -16,7 +16,8 @@
         latenessMilliseconds: 0,
       }),
       {
-        stopListeningMilliseconds: 3_000,
+        deregisteredMilliseconds: 3_000,
+        stopListeningMilliseconds: 7_000,
         answerMilliseconds: 7_500,
         closeMilliseconds: 7_850,
       },
@@ -39,6 +40,7 @@
         fc.integer({min: 0, max: 60_000}),
         (graceMilliseconds, latenessMilliseconds) => {
           const {
+            deregisteredMilliseconds,
             stopListeningMilliseconds,
             answerMilliseconds,
             closeMilliseconds,
@@ -46,7 +48,8 @@
             graceMilliseconds,
             latenessMilliseconds,
           });
-          assert.ok(stopListeningMilliseconds > 0);
+          assert.ok(deregisteredMilliseconds > 0);
+          assert.ok(deregisteredMilliseconds < stopListeningMilliseconds);
           assert.ok(stopListeningMilliseconds < answerMilliseconds);
           assert.ok(answerMilliseconds < closeMilliseconds);
           assert.ok(closeMilliseconds < graceMilliseconds);
--- a/packages/scheduling/src/compute_shutdown_schedule/compute_shutdown_schedule.ts
+++ b/packages/scheduling/src/compute_shutdown_schedule/compute_shutdown_schedule.ts
@@ -6,7 +6,16 @@
 const DEREGISTRATION_MILLISECONDS = 3_000;
 
 /** Largest part of the grace period that waits for the deregistration. */
-const MAXIMUM_DEREGISTRATION_SHARE = 0.5;
+const MAXIMUM_DEREGISTRATION_SHARE = 0.375;
+
+/**
+ * Time before the answers at which new connections are refused; their requests
+ * would hardly be served any more.
+ */
+const LISTENING_RESERVE_MILLISECONDS = 500;
+
+/** Largest part of the grace period that this reserve takes. */
+const MAXIMUM_LISTENING_SHARE = 0.1;
 
 /**
  * Time before the end of the grace period at which what has no answer yet is
@@ -40,6 +49,8 @@
 
 /** Steps of a shutdown, in milliseconds after the request to stop. */
 export interface ShutdownSchedule {
+  /** The platform sends no new connections if another instance takes them. */
+  readonly deregisteredMilliseconds: number;
   /** New connections are refused and idle ones are closed. */
   readonly stopListeningMilliseconds: number;
   /** Requests that have no answer are answered with a failure. */
@@ -57,8 +68,8 @@
  *
  * @example
  * computeShutdownSchedule({graceMilliseconds: 8_000, latenessMilliseconds: 0});
- * //=> {stopListeningMilliseconds: 3000, answerMilliseconds: 7500,
- * //    closeMilliseconds: 7850}
+ * //=> {deregisteredMilliseconds: 3000, stopListeningMilliseconds: 7000,
+ * //    answerMilliseconds: 7500, closeMilliseconds: 7850}
  */
 export function computeShutdownSchedule({
   graceMilliseconds,
@@ -76,13 +87,19 @@
     CLOSE_RESERVE_MILLISECONDS,
     graceMilliseconds * MAXIMUM_CLOSE_SHARE,
   );
+  const listeningReserve = Math.min(
+    LISTENING_RESERVE_MILLISECONDS,
+    graceMilliseconds * MAXIMUM_LISTENING_SHARE,
+  );
+  // The answers of a slow process take longer to write, too.
+  const answerMilliseconds = graceMilliseconds - answerReserve - 2 * lateness;
   return {
-    stopListeningMilliseconds: Math.min(
+    deregisteredMilliseconds: Math.min(
       DEREGISTRATION_MILLISECONDS,
       graceMilliseconds * MAXIMUM_DEREGISTRATION_SHARE - lateness,
     ),
-    // The answers of a slow process take longer to write, too.
-    answerMilliseconds: graceMilliseconds - answerReserve - 2 * lateness,
+    stopListeningMilliseconds: answerMilliseconds - listeningReserve,
+    answerMilliseconds,
     closeMilliseconds: graceMilliseconds - closeReserve - lateness,
   };
 }
