Serve at a stopping gateway what can still end there

A stopping gateway refused every stream from the moment of the signal, also one of three events, and took calls to its very end.

Change: one pure decision, decide_last_request: a request is served when nearly all of its kind end in the time that is left, else it is rejected at once as not run. Calls and streams go the same way.

--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -21,6 +21,7 @@
   ForwardingGateway,
   EvacuationTurn,
   GatewayMesh,
+  RequestDurations,
   RetryBudgets,
   Shutdown,
   StreamOrigins,
@@ -354,6 +355,7 @@
     metrics,
     onWorkStarted,
     shutdown: new Shutdown(clock),
+    durations: new RequestDurations(),
   };
 }
 
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -25,6 +25,7 @@
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
 import {listSharedParts} from '../list_shared_parts/list_shared_parts.js';
+import type {RequestDurations} from '../request_durations/request_durations.js';
 import type {RetryBudgets} from '../retry_budgets/retry_budgets.js';
 import type {Shutdown} from '../shutdown/shutdown.js';
 import type {StreamOrigins} from '../stream_origins/stream_origins.js';
@@ -44,6 +45,8 @@
   /** Retry budgets by service. */
   readonly retryBudgets: RetryBudgets;
   readonly quarantine: CrashQuarantine;
+  /** How long requests have taken. */
+  readonly durations: RequestDurations;
   /** Software versions at which the streams of all gateways began. */
   readonly streamOrigins: StreamOrigins;
   /** Region of an availability zone; undefined if it is not known. */
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -6,6 +6,7 @@
 
 import type {CallerLimits} from '@briarpin/coordination';
 import type {EndpointWork} from '@briarpin/messages';
+import {decideLastRequest} from '@briarpin/scheduling';
 import {runTask} from '@briarpin/telemetry';
 
 import {
@@ -300,17 +301,30 @@
       options.bounds,
       context.random,
     );
-    const {hasBegun, remainingAnswerMilliseconds} = context.shutdown;
     if (
       admission.kind === 'admitted' &&
-      hasBegun &&
-      (admission.route.isStream || remainingAnswerMilliseconds <= 0)
+      !this.endsInTime(admission, metadata)
     ) {
       return {kind: 'answered', errorResponse: STOPPING_RESPONSE};
     }
     return admission;
   }
 
+  /** Returns whether a request is expected to end before the gateway does. */
+  private endsInTime(
+    {route}: Admission & {kind: 'admitted'},
+    metadata: RequestMetadata,
+  ): boolean {
+    const {durations, shutdown} = this.context;
+    return (
+      !shutdown.hasBegun ||
+      decideLastRequest({
+        expectedMilliseconds: durations.estimate({route, metadata}),
+        remainingMilliseconds: shutdown.remainingAnswerMilliseconds,
+      })
+    );
+  }
+
   private async forward(exchange: Exchange): Promise<ExchangeResult> {
     const refusal = this.context.quarantine.admit(exchange);
     if (refusal !== undefined) {
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -17,6 +17,7 @@
 export * from './gateway_mesh/gateway_mesh.js';
 export * from './list_shared_parts/list_shared_parts.js';
 export * from './preconnecting_agent/preconnecting_agent.js';
+export * from './request_durations/request_durations.js';
 export * from './retry_budgets/retry_budgets.js';
 export * from './run_evacuation/run_evacuation.js';
 export * from './run_mover/run_mover.js';
--- a/packages/forwarding/src/record_exchange/record_exchange.ts
+++ b/packages/forwarding/src/record_exchange/record_exchange.ts
@@ -22,12 +22,15 @@
   result: ExchangeResult,
   context: Pick<
     ForwardingContext,
-    'clock' | 'metrics' | 'histograms' | 'logger' | 'shutdown'
+    'clock' | 'metrics' | 'histograms' | 'logger' | 'shutdown' | 'durations'
   >,
   snapshot: ConfigurationSnapshot,
 ): void {
   const milliseconds = Math.round(context.clock.now() - exchange.arrivedAt);
   context.metrics.countRequest(result.outcome, result.status);
+  if (result.outcome === 'done') {
+    context.durations.record(exchange, milliseconds);
+  }
   const {logger, shutdown} = context;
   logResult(exchange, result, {logger, shutdown, snapshot, milliseconds});
   recordLatencies(exchange, result, {
