Tell rejected callers when the first gateway returns

A stopping gateway sent every caller that it rejected back after 50 ms, to another gateway that was stopping too, and their only retry was used up.

A gateway that has ended counts as about to return until two seconds after its time; then nothing is known of it. No leader, nothing in the store.

Ruled out: a longer Retry-After where another gateway serves (callers may go there now).

--- a/packages/daemon/src/machine/exchange_reports.ts
+++ b/packages/daemon/src/machine/exchange_reports.ts
@@ -53,6 +53,7 @@
     storeAgeMilliseconds: toReportedAge(
       state.stalenessTracker.ageMilliseconds(),
     ),
+    returnMilliseconds: toReportedReturn(gateway.computeReturnMilliseconds()),
   };
 }
 
@@ -60,7 +61,7 @@
  * Applies a report of another gateway and evicts gateways that have timed out.
  *
  * @param report - The received report
- * @param components - Endpoint loads, registry and limits to update
+ * @param components - Endpoint loads, registry, limits and returns to update
  * @param mesh - Evicts the gateways without a recent report
  * @param state - Suspicions to update; all are reported to a new process
  */
@@ -70,7 +71,11 @@
     loads,
     endpoints,
     limits,
-  }: Pick<ForwardingContext, 'loads' | 'endpoints' | 'limits'>,
+    gatewayReturns,
+  }: Pick<
+    ForwardingContext,
+    'loads' | 'endpoints' | 'limits' | 'gatewayReturns'
+  >,
   mesh: Pick<GatewayMesh, 'evictSilentGateways'>,
   {
     suspicionTable,
@@ -79,6 +84,7 @@
 ): void {
   loads.setGatewayWork(report.gateway, report.work);
   limits.applyReport(report.gateway, report.limits);
+  gatewayReturns.record(report.gateway, report.returnMilliseconds);
   if (report.isFirst) {
     suspicionTable.list().forEach(record => recentSuspicions.add(record));
   }
@@ -97,6 +103,13 @@
     .forEach(gatewayName => loads.removeGateway(gatewayName));
 }
 
+/** Rounds the time until a return, if there is one. */
+function toReportedReturn(
+  milliseconds: number | undefined,
+): number | undefined {
+  return milliseconds === undefined ? undefined : Math.round(milliseconds);
+}
+
 /** Rounds an age to whole milliseconds and limits it to the maximum. */
 function toReportedAge(milliseconds: number): number {
   return Math.min(MAXIMUM_REPORTED_AGE_MILLISECONDS, Math.round(milliseconds));
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -21,6 +21,7 @@
   ForwardingGateway,
   EvacuationTurn,
   GatewayMesh,
+  GatewayReturns,
   RequestDurations,
   RetryBudgets,
   Shutdown,
@@ -170,6 +171,7 @@
       mesh.broadcast();
     },
     originTransport: () => mesh,
+    reachableGateways: () => mesh.reachableGateways,
   });
   const gateway = createGateway(settings, components, state);
   const mesh = createMesh(settings, components, gateway, state);
@@ -202,6 +204,7 @@
       }
       components.shutdown.begin(settings.bounds.stopGraceMilliseconds);
       logger.info('leaving', {reason, open: gateway.openRequests});
+      mesh.broadcast();
       await gateway.drain();
       logger.info('ended', {open: gateway.openRequests});
       await stop();
@@ -282,6 +285,7 @@
   readonly onWorkStarted: () => void;
   readonly onSuspicion: (record: SuspicionRecord) => void;
   readonly originTransport: () => OriginTransport;
+  readonly reachableGateways: () => readonly string[];
 }
 
 function createForwardingContext(
@@ -294,6 +298,7 @@
     onWorkStarted,
     onSuspicion,
     originTransport,
+    reachableGateways,
   }: ForwardingCallbacks,
 ): ForwardingContext {
   const clock = MONOTONIC_CLOCK;
@@ -356,6 +361,7 @@
     onWorkStarted,
     shutdown: new Shutdown(clock),
     durations: new RequestDurations(),
+    gatewayReturns: new GatewayReturns({clock, reachableGateways}),
   };
 }
 
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -24,6 +24,7 @@
 import type {EndpointClient} from '../endpoint_client/endpoint_client.js';
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
+import type {GatewayReturns} from '../gateway_returns/gateway_returns.js';
 import {listSharedParts} from '../list_shared_parts/list_shared_parts.js';
 import type {RequestDurations} from '../request_durations/request_durations.js';
 import type {RetryBudgets} from '../retry_budgets/retry_budgets.js';
@@ -59,6 +60,8 @@
   /** Called when work starts that other gateways must count for placement. */
   readonly onWorkStarted: () => void;
   readonly shutdown: Shutdown;
+  /** When the other gateways are expected to return that stop. */
+  readonly gatewayReturns: GatewayReturns;
 }
 
 /** One admitted request. */
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -56,15 +56,8 @@
  */
 const NEW_CONNECTION_MILLISECONDS = 1_000;
 
-/** `Retry-After` of a request that a stopping gateway rejects. */
-const STOPPING_RETRY_MILLISECONDS = 50;
-
-/** Response to a request that the gateway cannot serve before it ends. */
-const STOPPING_RESPONSE = {
-  kind: 'not_run',
-  reason: 'the gateway stops before the request would end',
-  retryAfterMilliseconds: STOPPING_RETRY_MILLISECONDS,
-} as const satisfies ErrorResponse;
+/** Time from the end of a process until its successor serves. */
+const RESTART_MILLISECONDS = 1_500;
 
 /** Options of {@link ForwardingGateway}. */
 export interface ForwardingGatewayOptions {
@@ -143,6 +136,24 @@
     }));
   }
 
+  /**
+   * Computes when this gateway serves again that stops; a gateway with streams
+   * stops at the end of its time.
+   *
+   * @returns Milliseconds; undefined while it serves
+   */
+  computeReturnMilliseconds(): number | undefined {
+    const {shutdown} = this.context;
+    if (!shutdown.hasBegun) {
+      return undefined;
+    }
+    const endMilliseconds =
+      this.sessions.size > 0
+        ? shutdown.remainingMilliseconds
+        : shutdown.remainingDeregistrationMilliseconds;
+    return Math.max(0, endMilliseconds) + RESTART_MILLISECONDS;
+  }
+
   /**
    * Shuts down: serves callers until the platform has deregistered the instance,
    * and then, as long as callers are still sent here, up to the time at which
@@ -256,7 +267,7 @@
       return;
     }
     if (read.kind === 'interrupted' || controller.signal.aborted) {
-      this.rejectRequest(open, STOPPING_RESPONSE);
+      this.rejectRequest(open, this.createStoppingResponse());
       return;
     }
     const {service, origin} = resolution;
@@ -305,11 +316,22 @@
       admission.kind === 'admitted' &&
       !this.endsInTime(admission, metadata)
     ) {
-      return {kind: 'answered', errorResponse: STOPPING_RESPONSE};
+      return {kind: 'answered', errorResponse: this.createStoppingResponse()};
     }
     return admission;
   }
 
+  /** Creates the response to a request that would not end before the gateway. */
+  private createStoppingResponse(): ErrorResponse & {kind: 'not_run'} {
+    const ownMilliseconds = this.computeReturnMilliseconds() ?? 0;
+    return {
+      kind: 'not_run',
+      reason: 'the gateway stops before the request would end',
+      retryAfterMilliseconds:
+        this.context.gatewayReturns.computeDelay(ownMilliseconds),
+    };
+  }
+
   /** Returns whether a request is expected to end before the gateway does. */
   private endsInTime(
     {route}: Admission & {kind: 'admitted'},
@@ -383,7 +405,7 @@
   /** Formats the response to a request whose head is incomplete. */
   private formatPartialResponse(): string {
     const {dialect} = this.context;
-    const {retryAfterMilliseconds} = STOPPING_RESPONSE;
+    const {retryAfterMilliseconds} = this.createStoppingResponse();
     const [name = '', value = ''] = dialect.buildRetryAfterHeaders(
       retryAfterMilliseconds,
     );
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
@@ -41,6 +41,8 @@
   readonly endpointsAgeMilliseconds: number;
   /** Time between its last read of anything in the store and this report. */
   readonly storeAgeMilliseconds: number;
+  /** Time until that gateway serves again; absent while it serves. */
+  readonly returnMilliseconds?: number;
   /** Receive time, in milliseconds of the local clock. */
   readonly receivedAt: number;
 }
@@ -54,6 +56,8 @@
   readonly limits: EndpointLimit[];
   readonly endpointsAgeMilliseconds: number;
   readonly storeAgeMilliseconds: number;
+  /** Time until this gateway serves again; absent while it serves. */
+  readonly returnMilliseconds?: number;
 }
 
 /** Options of {@link GatewayMesh}. */
