Keep draining when a second signal comes

Callers saw connections closed without an answer, though their calls ran, when a stopping gateway got SIGTERM or SIGINT once more. Cause: the second call of shutDown() returned at once, and the signal handler ends the process when it returns. Now all calls return the promise of the first one, as in the other roles of the daemon (wire.ts).

Ruled out: the handler alone, which is right for a promise that ends with the drain.

--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -90,8 +90,8 @@
    */
   readonly reload: (settings: InstanceSettings) => void;
   /**
-   * Drains open requests within the grace period, then stops. Further calls
-   * return immediately.
+   * Drains open requests within the grace period, then stops. All calls return
+   * the promise of the first one.
    */
   readonly shutDown: (reason: string) => Promise<void>;
   /** Stops immediately and closes all connections. */
@@ -190,6 +190,7 @@
     servers.close();
     await meshRun;
   };
+  let shutDown: Promise<void> | undefined;
   return {
     logger,
     ports: {callers, ...servers.ports},
@@ -197,15 +198,15 @@
       const isSame = JSON.stringify(changed) === JSON.stringify(settings);
       logger.info('settings_reloaded', {changed: !isSame});
     },
-    shutDown: async reason => {
-      if (components.shutdown.hasBegun) {
-        return;
-      }
-      components.shutdown.begin();
-      logger.info('leaving', {reason, open: gateway.openRequests});
-      await drainGateway(settings, components, gateway);
-      logger.info('ended', {open: gateway.openRequests});
-      await stop();
+    shutDown: reason => {
+      shutDown ??= (async () => {
+        components.shutdown.begin();
+        logger.info('leaving', {reason, open: gateway.openRequests});
+        await drainGateway(settings, components, gateway);
+        logger.info('ended', {open: gateway.openRequests});
+        await stop();
+      })();
+      return shutDown;
     },
     stop,
   };
