Handle signals from the moment a gateway listens

A gateway that got SIGTERM right after it had opened its listener was killed by it, and a caller's request got no answer; SIGHUP at that moment, which only asks to read the settings again, killed it too. Cause: the handlers were installed after the start had ended, later than the listener opened, so the default action held until then. Now they are installed before the start can open anything, and act once it has ended.

Ruled out: the reload itself, as SIGHUP later does no harm.

Open: until its modules are loaded, the default action still holds; nothing listens then.

--- a/packages/daemon/src/machine/run_on_machine.ts
+++ b/packages/daemon/src/machine/run_on_machine.ts
@@ -23,17 +23,14 @@
     process.exitCode = EXIT_USAGE_ERROR;
     return;
   }
+  const starting = startMachineGateway(
+    settings.value,
+    openLogStream(STANDARD_OUTPUT),
+  );
+  // A signal may come as soon as the gateway listens, before it has started.
+  handleSignals(starting);
   try {
-    const running = await startMachineGateway(
-      settings.value,
-      openLogStream(STANDARD_OUTPUT),
-    );
-    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-      process.on(signal, () => {
-        void running.shutDown(signal).then(() => process.exit(0));
-      });
-    }
-    process.on('SIGHUP', () => reload(running));
+    const running = await starting;
     running.logger.info('started', {role: 'gateway', pid: process.pid});
   } catch (error) {
     process.stderr.write(`${(error as Error).message}\n`);
@@ -43,6 +40,22 @@
   }
 }
 
+/** Installs handlers that act on signals once the gateway has started. */
+function handleSignals(starting: Promise<RunningMachine>): void {
+  const whenStarted = (act: (running: RunningMachine) => void) => {
+    // The caller reports a start that fails.
+    starting.then(act, () => undefined);
+  };
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    process.on(signal, () =>
+      whenStarted(running => {
+        void running.shutDown(signal).then(() => process.exit(0));
+      }),
+    );
+  }
+  process.on('SIGHUP', () => whenStarted(reload));
+}
+
 /** Reads the settings again; a failed read leaves the current ones in force. */
 function reload(running: RunningMachine): void {
   readInstanceSettings(process.env).match({
