--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -91,8 +91,8 @@
    */
   readonly reload: (settings: InstanceSettings) => void;
   /**
-   * Drains open requests within the grace period, then stops. Further calls
-   * return immediately.
+   * Drains open requests within the grace period, then stops. All calls return
+   * the promise of the first one.
    */
   readonly shutDown: (reason: string) => Promise<void>;
   /** Stops immediately and closes all connections. */
@@ -191,6 +191,7 @@
     servers.close();
     await meshRun;
   };
+  let shutDown: Promise<void> | undefined;
   return {
     logger,
     ports: {callers, ...servers.ports},
@@ -198,16 +199,16 @@
       const isSame = JSON.stringify(changed) === JSON.stringify(settings);
       logger.info('settings_reloaded', {changed: !isSame});
     },
-    shutDown: async reason => {
-      if (components.shutdown.hasBegun) {
-        return;
-      }
-      components.shutdown.begin(settings.bounds.stopGraceMilliseconds);
-      logger.info('leaving', {reason, open: gateway.openRequests});
-      mesh.broadcast();
-      await gateway.drain();
-      logger.info('ended', {open: gateway.openRequests});
-      await stop();
+    shutDown: reason => {
+      shutDown ??= (async () => {
+        components.shutdown.begin(settings.bounds.stopGraceMilliseconds);
+        logger.info('leaving', {reason, open: gateway.openRequests});
+        mesh.broadcast();
+        await gateway.drain();
+        logger.info('ended', {open: gateway.openRequests});
+        await stop();
+      })();
+      return shutDown;
     },
     stop,
   };
