Keep what is unread, pipelined or not flushed when a gateway stops

What callers saw, in tests with real processes (soak/stopping_gateway_states): - A large answer to a slow reader was cut when the listener closed, 3 of 3: the close of Node's HTTP server also closes connections whose last answer is not sent completely. The listener is now closed as a plain one, and a connection with unsent bytes is in use. - Of two requests written at once the second one ran and had no answer, as the first answer closed the connection. An answer closes its connection only if no further request has been read on it, and a request waits for the one before. - A gateway that was stopped for a while and woke ended at once, with 10 of 10 requests unread. It now ends early only if nothing is open before and after a pause, and if no request has arrived in part and no connection is under a second old. - Calls on connections that were not in use before got no answer after the deregistration, 25 of 100 in the first half of 4 s; these connections now stay until the gateway ends. - Streams without a limit of their tokens are assumed to take the route's timeout. The reserves of short grace periods are smaller (1 s: answers at 0.85 s), and a late timer counts for less as time goes by, so that calls of its first half are served.

--- a/packages/forwarding/src/caller_connections/caller_connections.ts
+++ b/packages/forwarding/src/caller_connections/caller_connections.ts
@@ -10,8 +10,8 @@
 interface ConnectionState {
   readonly openedAt: number;
   requestCount: number;
-  /** Response to the newest request. */
-  response?: ServerResponse;
+  /** Newest request, until its response has been sent. */
+  newest?: ConnectionPosition;
   /** Bytes that were read when the newest response had been sent. */
   answeredBytes: number;
 }
@@ -22,8 +22,11 @@
   readonly requestCount: number;
   /** Time since the connection was opened. */
   readonly ageMilliseconds: number;
-  /** Response to the request before; absent when it has been sent. */
-  readonly earlierResponse?: ServerResponse;
+  readonly response: ServerResponse;
+  /** The request before, if its response had not been sent yet. */
+  readonly earlier?: ConnectionPosition;
+  /** True once another request has been read on the connection. */
+  isFollowed: boolean;
 }
 
 /** Tracks the open connections of callers. */
@@ -49,33 +52,46 @@
   /** Records a request and returns its place on its connection. */
   recordRequest(socket: Socket, response: ServerResponse): ConnectionPosition {
     const state = this.states.get(socket) ?? this.createState();
-    const earlierResponse = state.response;
+    const earlier = state.newest;
+    if (earlier !== undefined) {
+      earlier.isFollowed = true;
+    }
     state.requestCount += 1;
-    state.response = response;
+    const position = {
+      requestCount: state.requestCount,
+      ageMilliseconds: this.clock.now() - state.openedAt,
+      response,
+      earlier,
+      isFollowed: false,
+    };
+    state.newest = position;
     response.once('close', () => {
-      if (state.response === response) {
-        state.response = undefined;
+      if (state.newest === position) {
+        state.newest = undefined;
         state.answeredBytes = socket.bytesRead;
       }
     });
-    return {
-      requestCount: state.requestCount,
-      ageMilliseconds: this.clock.now() - state.openedAt,
-      earlierResponse,
-    };
+    return position;
   }
 
   /**
-   * Closes the connections on which no request has begun to arrive.
+   * Returns whether a request may still arrive on a connection: one has arrived
+   * in part, or a connection is so new that its first one is on its way.
    *
-   * @param minimumAgeMilliseconds - Least age of a connection that has carried
-   *   no request yet
+   * @param newMilliseconds - Age up to which a connection is new
    */
-  closeIdle(minimumAgeMilliseconds: number): void {
-    const openedBefore = this.clock.now() - minimumAgeMilliseconds;
-    for (const [socket, state] of this.states) {
+  expectsRequests(newMilliseconds: number): boolean {
+    const openedBefore = this.clock.now() - newMilliseconds;
+    return [...this.states].some(([socket, state]) => {
       const isNew = state.requestCount === 0 && state.openedAt > openedBefore;
-      if (isIdle(socket, state) && !isNew) {
+      return isNew || !isIdle(socket, state);
+    });
+  }
+
+  /** Closes the connections on which no request has begun to arrive. */
+  closeIdle(): void {
+    for (const [socket, state] of this.states) {
+      if (isIdle(socket, state)) {
         socket.destroy();
       }
     }
@@ -89,7 +105,8 @@
    */
   answerPartialRequests(bytes: string): void {
     for (const [socket, state] of this.states) {
-      if (state.response === undefined && !isIdle(socket, state)) {
+      const {newest, answeredBytes} = state;
+      if (newest === undefined && socket.bytesRead !== answeredBytes) {
         socket.end(bytes);
       }
     }
@@ -101,8 +118,9 @@
 }
 
 function isIdle(
-  {bytesRead}: Socket,
-  {response, answeredBytes}: ConnectionState,
+  {bytesRead, writableLength}: Socket,
+  {newest, answeredBytes}: ConnectionState,
 ): boolean {
-  return response === undefined && bytesRead === answeredBytes;
+  const isAnswered = newest === undefined && writableLength === 0;
+  return isAnswered && bytesRead === answeredBytes;
 }
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -181,6 +181,17 @@
   return Math.max(overloadMilliseconds, shortestWait);
 }
 
+/**
+ * Returns whether the connection closes with the response: when the gateway
+ * stops, unless it has already read another request on the connection.
+ */
+export function closesConnection(
+  {connectionPosition}: Pick<Exchange, 'connectionPosition'>,
+  {shutdown}: Pick<ForwardingContext, 'shutdown'>,
+): boolean {
+  return shutdown.hasBegun && !connectionPosition.isFollowed;
+}
+
 /**
  * Sends an error response of the gateway, unless a response has begun.
  *
@@ -195,7 +206,7 @@
   if (!response.headersSent && !response.destroyed) {
     sendErrorResponse(response, errorResponse, {
       dialect: context.dialect,
-      closeConnection: context.shutdown.hasBegun,
+      closeConnection: closesConnection(exchange, context),
     });
   }
   return {
@@ -224,13 +235,15 @@
  * @returns How the exchange ended
  */
 export function sendBufferedResponse(
-  {response, arrivedAt}: Exchange,
-  {dialect, clock, shutdown}: ForwardingContext,
+  exchange: Exchange,
+  context: ForwardingContext,
   {status, headers: rawHeaders, body}: BufferedResponse,
 ): ExchangeResult {
+  const {response, arrivedAt} = exchange;
+  const {dialect, clock} = context;
   const headers = dialect.buildResponseHeaders(rawHeaders);
   headers.push('Content-Length', String(body.length));
-  if (shutdown.hasBegun) {
+  if (closesConnection(exchange, context)) {
     headers.push('Connection', 'close');
   }
   response.writeHead(status, headers);
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -2,7 +2,7 @@
  * HTTP gateway that forwards requests unchanged, according to their routes.
  */
 import http from 'node:http';
-import type {AddressInfo} from 'node:net';
+import net, {type AddressInfo} from 'node:net';
 
 import type {CallerLimits} from '@briarpin/coordination';
 import type {EndpointWork} from '@briarpin/messages';
@@ -51,8 +51,8 @@
 const CONNECTION_CHECK_MILLISECONDS = 1_000;
 
 /**
- * Age up to which a connection that has carried no request stays open when the
- * gateway stops, as its first request may be on its way.
+ * Age up to which the first request on a connection is expected: a gateway that
+ * stops does not end before.
  */
 const NEW_CONNECTION_MILLISECONDS = 1_000;
 
@@ -166,12 +166,12 @@
     await shutdown.waitUntil(
       () => shutdown.remainingDeregistrationMilliseconds,
     );
-    const isUnused = () => this.closeUnusedConnections();
+    const isUnused = () => !this.expectsRequests();
     await shutdown.waitUntil(
       () => shutdown.remainingListeningMilliseconds,
       isUnused,
     );
-    this.server.close();
+    this.stopListening();
     await shutdown.waitUntil(
       () => shutdown.remainingAnswerMilliseconds,
       isUnused,
@@ -182,12 +182,12 @@
   /** Answers all requests that have no answer yet, and sends the answers. */
   private async answerOpenRequests(): Promise<void> {
     const {shutdown} = this.context;
-    this.connections.closeIdle(0);
+    this.connections.closeIdle();
     this.connections.answerPartialRequests(this.formatPartialResponse());
     this.open.forEach(open => open.interrupt());
     await shutdown.waitUntil(
       () => shutdown.remainingMilliseconds,
-      () => this.closeUnusedConnections(),
+      () => this.open.size === 0 && this.connections.count === 0,
     );
   }
 
@@ -199,10 +199,20 @@
     this.context.client.close();
   }
 
-  /** Closes the connections not in use; returns whether none is left. */
-  private closeUnusedConnections(): boolean {
-    this.connections.closeIdle(NEW_CONNECTION_MILLISECONDS);
-    return this.connections.count === 0;
+  /**
+   * Refuses new connections. The method of the HTTP server would also cut
+   * connections whose last response is not sent completely.
+   */
+  private stopListening(): void {
+    net.Server.prototype.close.call(this.server);
+  }
+
+  /** Returns whether requests are open, or may still arrive. */
+  private expectsRequests(): boolean {
+    return (
+      this.open.size > 0 ||
+      this.connections.expectsRequests(NEW_CONNECTION_MILLISECONDS)
+    );
   }
 
   private handleRequest(
@@ -386,7 +396,8 @@
     sendErrorResponse(response, errorResponse, {
       dialect: context.dialect,
       closeConnection:
-        errorResponse.kind === 'not_run' || context.shutdown.hasBegun,
+        !connectionPosition.isFollowed &&
+        (errorResponse.kind === 'not_run' || context.shutdown.hasBegun),
     });
   }
 
--- a/packages/forwarding/src/request_durations/request_durations.test.ts
+++ b/packages/forwarding/src/request_durations/request_durations.test.ts
@@ -36,6 +36,7 @@
     const durations = new RequestDurations();
     assert.equal(durations.estimate(createRequest(100)), 2_500);
     assert.equal(durations.estimate(createRequest(10_000)), 30_000);
+    assert.equal(durations.estimate(createRequest(0)), 30_000);
   });
 
   it('assumes twice the latency target of a call', () => {
--- a/packages/forwarding/src/request_durations/request_durations.ts
+++ b/packages/forwarding/src/request_durations/request_durations.ts
@@ -62,11 +62,24 @@
   return `${size} ${route.name}`;
 }
 
-function assumeDuration({route, metadata}: EstimatedRequest): number {
+/** Assumes the longest duration for a stream without a limit of its tokens. */
+function assumeDuration({
+  route,
+  metadata: {maximumOutputTokens},
+}: EstimatedRequest): number {
   const {targetLatencyMilliseconds, timeoutMilliseconds, isStream} = route;
-  const assumed = isStream
-    ? targetLatencyMilliseconds +
-      metadata.maximumOutputTokens * ASSUMED_MILLISECONDS_PER_TOKEN
-    : targetLatencyMilliseconds * ASSUMED_TARGETS;
-  return Math.min(assumed, timeoutMilliseconds);
+  if (!isStream) {
+    return Math.min(
+      targetLatencyMilliseconds * ASSUMED_TARGETS,
+      timeoutMilliseconds,
+    );
+  }
+  if (maximumOutputTokens === 0) {
+    return timeoutMilliseconds;
+  }
+  return Math.min(
+    targetLatencyMilliseconds +
+      maximumOutputTokens * ASSUMED_MILLISECONDS_PER_TOKEN,
+    timeoutMilliseconds,
+  );
 }
--- a/packages/forwarding/src/shutdown/shutdown.ts
+++ b/packages/forwarding/src/shutdown/shutdown.ts
@@ -10,6 +10,9 @@
 /** Interval at which a wait checks its condition. */
 const POLL_MILLISECONDS = 20;
 
+/** Part of an observed lateness that still counts after the next pause. */
+const LATENESS_DECAY = 0.95;
+
 /** Tells the parts of a gateway whether it shuts down, and when it ends. */
 export class Shutdown {
   private startedAt: number | undefined;
@@ -72,21 +75,34 @@
    * Waits for a step of the shutdown, and observes how late timers are.
    *
    * @param remaining - Time until the step
-   * @param isDone - Ends the wait early when it returns true
+   * @param isDone - Ends the wait early when it returns true before and after a
+   *   pause, so that what had arrived unread has been read
    */
   async waitUntil(
     remaining: () => number,
     isDone: () => boolean = () => false,
   ): Promise<void> {
-    while (!isDone() && remaining() > 0) {
-      const pause = Math.min(POLL_MILLISECONDS, remaining());
-      const sleepsAt = this.clock.now();
-      await this.clock.sleep(pause);
-      const lateness = this.clock.now() - sleepsAt - pause;
-      this.latenessMilliseconds = Math.max(this.latenessMilliseconds, lateness);
+    let wasDone = false;
+    while (remaining() > 0) {
+      const isDoneNow = isDone();
+      if (wasDone && isDoneNow) {
+        return;
+      }
+      wasDone = isDoneNow;
+      await this.pause(Math.min(POLL_MILLISECONDS, remaining()));
     }
   }
 
+  private async pause(milliseconds: number): Promise<void> {
+    const startedAt = this.clock.now();
+    await this.clock.sleep(milliseconds);
+    const lateness = this.clock.now() - startedAt - milliseconds;
+    this.latenessMilliseconds = Math.max(
+      this.latenessMilliseconds * LATENESS_DECAY,
+      lateness,
+    );
+  }
+
   private computeRemaining(
     step: (schedule: ShutdownSchedule) => number,
   ): number {
--- a/packages/forwarding/src/stream_writer/stream_writer.ts
+++ b/packages/forwarding/src/stream_writer/stream_writer.ts
@@ -4,10 +4,11 @@
 import type {IncomingMessage} from 'node:http';
 
 import type {RawEvent} from '../event_splitter/event_splitter.js';
-import type {
-  Exchange,
-  ExchangeResult,
-  ForwardingContext,
+import {
+  closesConnection,
+  type Exchange,
+  type ExchangeResult,
+  type ForwardingContext,
 } from '../exchange/exchange.js';
 
 /**
@@ -97,7 +98,7 @@
     const headers = context.dialect.buildResponseHeaders(
       firstResponse.rawHeaders,
     );
-    if (context.shutdown.hasBegun) {
+    if (closesConnection(this.exchange, context)) {
       headers.push('Connection', 'close');
     }
     response.writeHead(firstResponse.statusCode ?? 0, headers);
--- a/packages/scheduling/src/compute_shutdown_schedule/compute_shutdown_schedule.ts
+++ b/packages/scheduling/src/compute_shutdown_schedule/compute_shutdown_schedule.ts
@@ -6,7 +6,7 @@
 const DEREGISTRATION_MILLISECONDS = 3_000;
 
 /** Largest part of the grace period that waits for the deregistration. */
-const MAXIMUM_DEREGISTRATION_SHARE = 0.375;
+const MAXIMUM_DEREGISTRATION_SHARE = 0.5;
 
 /**
  * Time before the answers at which new connections are refused; their requests
@@ -27,7 +27,7 @@
 const CLOSE_RESERVE_MILLISECONDS = 150;
 
 /** Largest parts of the grace period that these reserves take. */
-const MAXIMUM_ANSWER_SHARE = 0.25;
+const MAXIMUM_ANSWER_SHARE = 0.15;
 const MAXIMUM_CLOSE_SHARE = 0.1;
 
 /**
@@ -91,8 +91,7 @@
     LISTENING_RESERVE_MILLISECONDS,
     graceMilliseconds * MAXIMUM_LISTENING_SHARE,
   );
-  // The answers of a slow process take longer to write, too.
-  const answerMilliseconds = graceMilliseconds - answerReserve - 2 * lateness;
+  const answerMilliseconds = graceMilliseconds - answerReserve - lateness;
   return {
     deregisteredMilliseconds: Math.min(
       DEREGISTRATION_MILLISECONDS,
--- a/packages/scheduling/src/decide_last_request/decide_last_request.ts
+++ b/packages/scheduling/src/decide_last_request/decide_last_request.ts
@@ -6,7 +6,7 @@
  * Time that the rest of a request takes beside its run: reading, forwarding
  * and sending the response.
  */
-const MARGIN_MILLISECONDS = 50;
+const MARGIN_MILLISECONDS = 30;
 
 /** A request at an instance that shuts down. */
 export interface LastRequest {
--- a/packages/scheduling/src/duration_estimator/duration_estimator.ts
+++ b/packages/scheduling/src/duration_estimator/duration_estimator.ts
@@ -7,7 +7,7 @@
 const DEVIATION_WEIGHT = 1 / 4;
 
 /** Deviations above the mean within which nearly all requests end. */
-const DEVIATIONS = 4;
+const DEVIATIONS = 3;
 
 /**
  * Smoothed mean and mean deviation of durations, as TCP estimates its
@@ -16,7 +16,7 @@
  * @example
  * const estimator = new DurationEstimator();
  * estimator.record(100);
- * estimator.upperMilliseconds; //=> 300
+ * estimator.upperMilliseconds; //=> 250
  */
 export class DurationEstimator {
   private mean: number | undefined;
