--- /dev/null
+++ b/packages/daemon/src/machine/create_forwarding_context.ts
@@ -0,0 +1,128 @@
+/**
+ * Constructs the components of a gateway on a machine that serve requests.
+ */
+import {
+  EndpointRegistry,
+  MONOTONIC_CLOCK,
+  type EndpointEntry,
+  type EntrySource,
+  type LeavingReason,
+} from '@briarpin/coordination';
+import {
+  CrashQuarantine,
+  EndpointClient,
+  EndpointLimits,
+  EndpointLoads,
+  GatewayReturns,
+  RequestDurations,
+  RetryBudgets,
+  Shutdown,
+  StreamOrigins,
+  type ForwardingContext,
+  type OriginTransport,
+} from '@briarpin/forwarding';
+import {RequestDialect, type InstanceSettings} from '@briarpin/machines';
+import type {SuspicionRecord} from '@briarpin/messages';
+import {probeListener} from '@briarpin/platform';
+
+import {computeRoundTripMilliseconds} from './compute_round_trip_milliseconds.js';
+import type {Telemetry} from './create_telemetry.js';
+import type {MachineState} from './machine_state.js';
+
+/**
+ * Callbacks from the components to those that are constructed from them, the
+ * gateway and the mesh.
+ */
+export interface ForwardingCallbacks {
+  readonly onLeaving: (entry: EndpointEntry, reason: LeavingReason) => void;
+  readonly onReady: (entry: EndpointEntry, source: EntrySource) => void;
+  readonly onWorkStarted: () => void;
+  readonly onSuspicion: (record: SuspicionRecord) => void;
+  readonly originTransport: () => OriginTransport;
+  readonly reachableGateways: () => readonly string[];
+}
+
+/**
+ * Creates the components that serve requests.
+ *
+ * @param settings - Settings of the instance
+ * @param telemetry - Logger, histograms and metrics
+ * @param state - Provides the suspicions
+ * @param callbacks - Called by the components
+ */
+export function createForwardingContext(
+  settings: InstanceSettings,
+  {logger, histograms, metrics}: Telemetry,
+  state: Pick<MachineState, 'suspicionTable'>,
+  {
+    onLeaving,
+    onReady,
+    onWorkStarted,
+    onSuspicion,
+    originTransport,
+    reachableGateways,
+  }: ForwardingCallbacks,
+): ForwardingContext {
+  const clock = MONOTONIC_CLOCK;
+  const dialect = new RequestDialect();
+  const endpoints = new EndpointRegistry({
+    heartbeatMilliseconds: settings.heartbeatMilliseconds,
+    now: () => clock.now(),
+    onLeaving,
+    onReady,
+  });
+  const limits = new EndpointLimits({
+    now: () => clock.now(),
+    random: Math.random,
+    logger,
+    onLimitedRequest: onWorkStarted,
+  });
+  const quarantine = new CrashQuarantine({
+    table: state.suspicionTable,
+    endpoints,
+    now: () => clock.now(),
+    random: Math.random,
+    gateway: settings.instance,
+    wallClockMilliseconds: () => Date.now(),
+    probeListener,
+    logger,
+    onSuspicion,
+  });
+  return {
+    dialect,
+    client: new EndpointClient(dialect, limits, {
+      hasCrashed: endpoint => quarantine.hasCrashed(endpoint),
+      onLeaving: endpoint => endpoints.markDrainingFromResponse(endpoint),
+    }),
+    limits,
+    endpoints,
+    quarantine,
+    streamOrigins: new StreamOrigins({
+      clock,
+      logger,
+      transport: originTransport,
+    }),
+    loads: new EndpointLoads({
+      now: () => clock.now(),
+      findDraining: service => endpoints.findDraining(service),
+      roundTripMilliseconds: entry =>
+        computeRoundTripMilliseconds(settings, entry),
+    }),
+    retryBudgets: new RetryBudgets({
+      ratio: settings.bounds.retryRatio,
+      slack: settings.bounds.retrySlack,
+      windowMilliseconds: settings.bounds.retryWindowMilliseconds,
+      now: () => clock.now(),
+    }),
+    regionOf: zone => settings.regionsByAvailabilityZone.get(zone),
+    clock,
+    random: Math.random,
+    logger,
+    histograms,
+    metrics,
+    onWorkStarted,
+    shutdown: new Shutdown(clock),
+    durations: new RequestDurations(),
+    gatewayReturns: new GatewayReturns({clock, reachableGateways}),
+  };
+}
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -5,42 +5,27 @@
 import {
   StalenessTracker,
   SuspicionTable,
-  EndpointRegistry,
   keepRegistered,
   selectReaders,
   MONOTONIC_CLOCK,
   type EndpointEntry,
-  type EntrySource,
   type LeavingReason,
 } from '@briarpin/coordination';
 import {
-  CrashQuarantine,
-  EndpointClient,
-  EndpointLimits,
-  EndpointLoads,
   ForwardingGateway,
   EvacuationTurn,
   GatewayMesh,
-  GatewayReturns,
-  RequestDurations,
-  RetryBudgets,
-  Shutdown,
-  StreamOrigins,
   type ForwardingContext,
-  type OriginTransport,
 } from '@briarpin/forwarding';
 import {
   ENDPOINTS_TOPIC,
   KeyedStore,
-  RequestDialect,
   type InstanceSettings,
 } from '@briarpin/machines';
-import type {SuspicionRecord} from '@briarpin/messages';
-import {probeListener} from '@briarpin/platform';
 import {runTask, type EventLogger} from '@briarpin/telemetry';
 
-import {computeRoundTripMilliseconds} from './compute_round_trip_milliseconds.js';
-import {createTelemetry, type Telemetry} from './create_telemetry.js';
+import {createForwardingContext} from './create_forwarding_context.js';
+import {createTelemetry} from './create_telemetry.js';
 import {createReport, applyReport} from './exchange_reports.js';
 import {encodeGateway, followStore, GATEWAYS_TOPIC} from './follow_store.js';
 import type {MachineState} from './machine_state.js';
@@ -276,96 +261,6 @@
   );
 }
 
-/**
- * Callbacks from the components to those that are constructed from them, the
- * gateway and the mesh.
- */
-interface ForwardingCallbacks {
-  readonly onLeaving: (entry: EndpointEntry, reason: LeavingReason) => void;
-  readonly onReady: (entry: EndpointEntry, source: EntrySource) => void;
-  readonly onWorkStarted: () => void;
-  readonly onSuspicion: (record: SuspicionRecord) => void;
-  readonly originTransport: () => OriginTransport;
-  readonly reachableGateways: () => readonly string[];
-}
-
-function createForwardingContext(
-  settings: InstanceSettings,
-  {logger, histograms, metrics}: Telemetry,
-  state: Pick<MachineState, 'suspicionTable'>,
-  {
-    onLeaving,
-    onReady,
-    onWorkStarted,
-    onSuspicion,
-    originTransport,
-    reachableGateways,
-  }: ForwardingCallbacks,
-): ForwardingContext {
-  const clock = MONOTONIC_CLOCK;
-  const dialect = new RequestDialect();
-  const endpoints = new EndpointRegistry({
-    heartbeatMilliseconds: settings.heartbeatMilliseconds,
-    now: () => clock.now(),
-    onLeaving,
-    onReady,
-  });
-  const limits = new EndpointLimits({
-    now: () => clock.now(),
-    random: Math.random,
-    logger,
-    onLimitedRequest: onWorkStarted,
-  });
-  const quarantine = new CrashQuarantine({
-    table: state.suspicionTable,
-    endpoints,
-    now: () => clock.now(),
-    random: Math.random,
-    gateway: settings.instance,
-    wallClockMilliseconds: () => Date.now(),
-    probeListener,
-    logger,
-    onSuspicion,
-  });
-  return {
-    dialect,
-    client: new EndpointClient(dialect, limits, {
-      hasCrashed: endpoint => quarantine.hasCrashed(endpoint),
-      onLeaving: endpoint => endpoints.markDrainingFromResponse(endpoint),
-    }),
-    limits,
-    endpoints,
-    quarantine,
-    streamOrigins: new StreamOrigins({
-      clock,
-      logger,
-      transport: originTransport,
-    }),
-    loads: new EndpointLoads({
-      now: () => clock.now(),
-      findDraining: service => endpoints.findDraining(service),
-      roundTripMilliseconds: entry =>
-        computeRoundTripMilliseconds(settings, entry),
-    }),
-    retryBudgets: new RetryBudgets({
-      ratio: settings.bounds.retryRatio,
-      slack: settings.bounds.retrySlack,
-      windowMilliseconds: settings.bounds.retryWindowMilliseconds,
-      now: () => clock.now(),
-    }),
-    regionOf: zone => settings.regionsByAvailabilityZone.get(zone),
-    clock,
-    random: Math.random,
-    logger,
-    histograms,
-    metrics,
-    onWorkStarted,
-    shutdown: new Shutdown(clock),
-    durations: new RequestDurations(),
-    gatewayReturns: new GatewayReturns({clock, reachableGateways}),
-  };
-}
-
 function createGateway(
   settings: InstanceSettings,
   components: ForwardingContext,
@@ -418,7 +313,7 @@
  * a notice.
  */
 function recordEnd(
-  quarantine: CrashQuarantine,
+  quarantine: ForwardingContext['quarantine'],
   entry: EndpointEntry,
   reason: LeavingReason,
 ): void {
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -1,13 +1,10 @@
 /**
  * HTTP gateway that forwards requests unchanged, according to their routes.
  */
-import http from 'node:http';
-import net, {type AddressInfo} from 'node:net';
+import type http from 'node:http';
 
 import type {CallerLimits} from '@briarpin/coordination';
 import type {EndpointWork} from '@briarpin/messages';
-import {decideLastRequest} from '@briarpin/scheduling';
-import {runTask} from '@briarpin/telemetry';
 
 import {
   admitRequest,
@@ -15,7 +12,7 @@
   type AdmissionBounds,
   type ConfigurationSnapshot,
 } from '../admit_request/admit_request.js';
-import {CallerConnections} from '../caller_connections/caller_connections.js';
+import {CallerServer} from '../caller_server/caller_server.js';
 import {createExchange} from '../create_exchange/create_exchange.js';
 import {describeConnection} from '../describe_connection/describe_connection.js';
 import {Evacuator} from '../evacuator/evacuator.js';
@@ -32,33 +29,16 @@
   getHttpStatus,
   type ErrorResponse,
 } from '../error_response/error_response.js';
-import {OpenRequest} from '../open_request/open_request.js';
+import {LastRequests} from '../last_requests/last_requests.js';
+import type {OpenRequest} from '../open_request/open_request.js';
 import {readBody} from '../read_body/read_body.js';
 import {recordExchange} from '../record_exchange/record_exchange.js';
 import {resolveStreamOrigin} from '../resolve_stream_origin/resolve_stream_origin.js';
 import {StreamSession} from '../stream_session/stream_session.js';
 
-/**
- * Limit of the request line and headers. The limit in the configuration is not
- * applied.
- */
-const MAXIMUM_HEADER_BYTES = 65_536;
-
 /** Limit of a request body until a configuration sets one. */
 const DEFAULT_MAXIMUM_BODY_BYTES = 1_048_576;
 
-/** Interval at which connections are checked for timeouts. */
-const CONNECTION_CHECK_MILLISECONDS = 1_000;
-
-/**
- * Age up to which the first request on a connection is expected: a gateway that
- * stops does not end before.
- */
-const NEW_CONNECTION_MILLISECONDS = 1_000;
-
-/** Time from the end of a process until its successor serves. */
-const RESTART_MILLISECONDS = 1_500;
-
 /** Options of {@link ForwardingGateway}. */
 export interface ForwardingGatewayOptions {
   /** Returns the current configuration and its age. */
@@ -68,12 +48,11 @@
 
 /** Accepts requests of callers and forwards them to endpoints. */
 export class ForwardingGateway {
-  private readonly server: http.Server;
   private readonly sessions = new Set<StreamSession>();
   /** Moves streams off endpoints that are shutting down. */
   readonly evacuator: Evacuator;
-  private readonly open = new Set<OpenRequest>();
-  private readonly connections: CallerConnections;
+  private readonly server: CallerServer;
+  private readonly lastRequests: LastRequests;
   private maximumBodyBytes = DEFAULT_MAXIMUM_BODY_BYTES;
 
   /**
@@ -84,22 +63,20 @@
     private readonly context: ForwardingContext,
     private readonly options: ForwardingGatewayOptions,
   ) {
-    this.connections = new CallerConnections(context.clock);
     this.evacuator = new Evacuator(this.sessions, context);
-    this.server = http.createServer(
-      {
-        maxHeaderSize: MAXIMUM_HEADER_BYTES,
-        requestTimeout: 0,
-        connectionsCheckingInterval: CONNECTION_CHECK_MILLISECONDS,
-      },
-      (request, response) => this.handleRequest(request, response),
-    );
-    this.server.on('connection', socket => this.connections.add(socket));
+    this.lastRequests = new LastRequests(context, {
+      hasStreams: () => this.sessions.size > 0,
+    });
+    this.server = new CallerServer(context, {
+      serve: open => this.serve(open),
+      retryAfterMilliseconds: () =>
+        this.lastRequests.createResponse().retryAfterMilliseconds,
+    });
   }
 
   /** Number of requests in progress. */
   get openRequests(): number {
-    return this.open.size;
+    return this.server.openRequests;
   }
 
   /**
@@ -108,20 +85,14 @@
    * @returns The port, which the system chooses if `port` is 0
    * @throws Error when the address cannot be bound
    */
-  listen({host, port}: {host: string; port: number}): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        resolve((this.server.address() as AddressInfo).port);
-      });
-    });
+  listen(address: {host: string; port: number}): Promise<number> {
+    return this.server.listen(address);
   }
 
   /** Applies the body size limit and the timeouts of caller connections. */
   applyLimits(limits: CallerLimits): void {
     this.maximumBodyBytes = limits.maximumBodyBytes;
-    this.server.headersTimeout = limits.headerTimeoutMilliseconds;
-    this.server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
+    this.server.applyLimits(limits);
   }
 
   /** Returns this gateway's work by endpoint, to send to other gateways. */
@@ -137,116 +108,33 @@
   }
 
   /**
-   * Computes when this gateway serves again that stops; a gateway with streams
-   * stops at the end of its time.
+   * Computes when this gateway serves again.
    *
-   * @returns Milliseconds; undefined while it serves
+   * @returns Milliseconds; undefined while it does not shut down
    */
   computeReturnMilliseconds(): number | undefined {
-    const {shutdown} = this.context;
-    if (!shutdown.hasBegun) {
-      return undefined;
-    }
-    const endMilliseconds =
-      this.sessions.size > 0
-        ? shutdown.remainingMilliseconds
-        : shutdown.remainingDeregistrationMilliseconds;
-    return Math.max(0, endMilliseconds) + RESTART_MILLISECONDS;
+    return this.lastRequests.computeReturnMilliseconds();
   }
 
   /**
-   * Shuts down: serves callers until the platform has deregistered the instance,
-   * and then, as long as callers are still sent here, up to the time at which
-   * the requests that are left have to be answered.
+   * Shuts down within the grace period: serves what can end in it, and answers
+   * every request.
    *
-   * @returns Resolves when no connection is open or the time is over
+   * @returns Resolves when no request is expected or the time is over
    */
-  async drain(): Promise<void> {
-    const {shutdown} = this.context;
-    await shutdown.waitUntil(
-      () => shutdown.remainingDeregistrationMilliseconds,
-    );
-    const isUnused = () => !this.expectsRequests();
-    await shutdown.waitUntil(
-      () => shutdown.remainingListeningMilliseconds,
-      isUnused,
-    );
-    this.stopListening();
-    await shutdown.waitUntil(
-      () => shutdown.remainingAnswerMilliseconds,
-      isUnused,
-    );
-    await this.answerOpenRequests();
-  }
-
-  /** Answers all requests that have no answer yet, and sends the answers. */
-  private async answerOpenRequests(): Promise<void> {
-    const {shutdown} = this.context;
-    this.connections.closeIdle();
-    this.connections.answerPartialRequests(this.formatPartialResponse());
-    this.open.forEach(open => open.interrupt());
-    await shutdown.waitUntil(
-      () => shutdown.remainingMilliseconds,
-      () => this.open.size === 0 && this.connections.count === 0,
-    );
+  drain(): Promise<void> {
+    return this.server.drain();
   }
 
   /** Stops listening, and closes all connections to callers and endpoints. */
   close(): void {
     this.server.close();
-    this.open.forEach(open => this.logCutRequest(open));
-    this.server.closeAllConnections();
     this.context.client.close();
   }
 
-  /**
-   * Refuses new connections. The method of the HTTP server would also cut
-   * connections whose last response is not sent completely.
-   */
-  private stopListening(): void {
-    net.Server.prototype.close.call(this.server);
-  }
-
-  /** Returns whether requests are open, or may still arrive. */
-  private expectsRequests(): boolean {
-    return (
-      this.open.size > 0 ||
-      this.connections.expectsRequests(NEW_CONNECTION_MILLISECONDS)
-    );
-  }
-
-  private handleRequest(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): void {
-    const {logger, clock, dialect} = this.context;
-    request.on('error', error =>
-      logger.debug('caller_connection', {message: error.message}),
-    );
-    response.on('error', error =>
-      logger.debug('caller_connection', {message: error.message}),
-    );
-    const open = new OpenRequest({
-      request,
-      response,
-      metadata: dialect.readRequest(request.headers),
-      arrivedAt: clock.now(),
-      connectionPosition: this.connections.recordRequest(
-        request.socket,
-        response,
-      ),
-    });
-    this.open.add(open);
-    response.once('close', () => this.open.delete(open));
-    runTask('request', logger, () => this.serve(open));
-  }
-
   private async serve(open: OpenRequest): Promise<void> {
     const {context} = this;
     const {request, response, metadata, controller} = open;
-    if (!(await open.waitForTurn())) {
-      return;
-    }
     const admission = this.admit(request, metadata);
     if (admission.kind === 'answered') {
       this.rejectRequest(open, admission.errorResponse);
@@ -277,7 +165,7 @@
       return;
     }
     if (read.kind === 'interrupted' || controller.signal.aborted) {
-      this.rejectRequest(open, this.createStoppingResponse());
+      this.rejectRequest(open, this.lastRequests.createResponse());
       return;
     }
     const {service, origin} = resolution;
@@ -324,39 +212,14 @@
     );
     if (
       admission.kind === 'admitted' &&
-      !this.endsInTime(admission, metadata)
+      !this.lastRequests.endsInTime(admission.route, metadata)
     ) {
-      return {kind: 'answered', errorResponse: this.createStoppingResponse()};
+      const errorResponse = this.lastRequests.createResponse();
+      return {kind: 'answered', errorResponse};
     }
     return admission;
   }
 
-  /** Creates the response to a request that would not end before the gateway. */
-  private createStoppingResponse(): ErrorResponse & {kind: 'not_run'} {
-    const ownMilliseconds = this.computeReturnMilliseconds() ?? 0;
-    return {
-      kind: 'not_run',
-      reason: 'the gateway stops before the request would end',
-      retryAfterMilliseconds:
-        this.context.gatewayReturns.computeDelay(ownMilliseconds),
-    };
-  }
-
-  /** Returns whether a request is expected to end before the gateway does. */
-  private endsInTime(
-    {route}: Admission & {kind: 'admitted'},
-    metadata: RequestMetadata,
-  ): boolean {
-    const {durations, shutdown} = this.context;
-    return (
-      !shutdown.hasBegun ||
-      decideLastRequest({
-        expectedMilliseconds: durations.estimate({route, metadata}),
-        remainingMilliseconds: shutdown.remainingAnswerMilliseconds,
-      })
-    );
-  }
-
   private async forward(exchange: Exchange): Promise<ExchangeResult> {
     const refusal = this.context.quarantine.admit(exchange);
     if (refusal !== undefined) {
@@ -400,32 +263,4 @@
         (errorResponse.kind === 'not_run' || context.shutdown.hasBegun),
     });
   }
-
-  /** Logs a request whose connection is closed before it has its answer. */
-  private logCutRequest(open: OpenRequest): void {
-    const {clock, logger, shutdown} = this.context;
-    logger.warn('request_cut', {
-      request: open.metadata.requestId,
-      path: open.request.url,
-      answered: open.response.headersSent,
-      milliseconds: Math.round(clock.now() - open.arrivedAt),
-      ...describeConnection(open.connectionPosition, shutdown),
-    });
-  }
-
-  /** Formats the response to a request whose head is incomplete. */
-  private formatPartialResponse(): string {
-    const {dialect} = this.context;
-    const {retryAfterMilliseconds} = this.createStoppingResponse();
-    const [name = '', value = ''] = dialect.buildRetryAfterHeaders(
-      retryAfterMilliseconds,
-    );
-    const lines = [
-      'HTTP/1.1 503 Service Unavailable',
-      `${name}: ${value}`,
-      'Content-Length: 0',
-      'Connection: close',
-    ];
-    return `${lines.join('\r\n')}\r\n\r\n`;
-  }
 }
