Look back at versions for as long as callers take streams up

What callers saw: all gateways were killed, one software version had left, and a caller that did not name its stream got 200 and the rest from the other version.

Cause: two views of how late a stream may be taken up. The record of a stream is kept for its time and 60 s more; the history that must exclude a second version was asked for the time alone, and for what the caller had left of its deadline instead of all of it. A gateway that had started since knew one version only.

Change: one function says how late a stream may be taken up, for both.

Named streams do not ask the history.

The price, LOST: callers that do not name their stream are rejected for 63 to 99 s after the start of a gateway, instead of 3 to 39 s.

--- a/packages/forwarding/src/pin_stream_origin/pin_stream_origin.ts
+++ b/packages/forwarding/src/pin_stream_origin/pin_stream_origin.ts
@@ -3,14 +3,9 @@
  */
 import type {Clock, EndpointEntry} from '@briarpin/coordination';
 
+import {computeTakeUpTime} from '../compute_take_up_time/compute_take_up_time.js';
 import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
 
-/**
- * Time after the end of a request's own time in which its caller may still take
- * its stream up: the patience of callers, and clocks that differ.
- */
-const TAKE_UP_MILLISECONDS = 60_000;
-
 /**
  * Decides on the first event that an endpoint sends for a request. The first one
  * of a stream pins the exchange to the service and the software version of its
@@ -53,9 +48,5 @@
   {arrivedAt, route, metadata}: Exchange,
   clock: Clock,
 ): number {
-  const allowed = Math.max(
-    route.timeoutMilliseconds,
-    metadata.deadlineMilliseconds ?? 0,
-  );
-  return arrivedAt + allowed + TAKE_UP_MILLISECONDS - clock.now();
+  return arrivedAt + computeTakeUpTime(route, metadata) - clock.now();
 }
--- a/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.ts
+++ b/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.ts
@@ -4,6 +4,7 @@
 import type {RoutedService, StreamOrigin} from '@briarpin/coordination';
 
 import type {Admission} from '../admit_request/admit_request.js';
+import {computeTakeUpTime} from '../compute_take_up_time/compute_take_up_time.js';
 import type {RequestMetadata} from '../dialect/dialect.js';
 import type {ErrorResponse} from '../error_response/error_response.js';
 import type {ForwardingContext} from '../exchange/exchange.js';
@@ -46,7 +47,7 @@
   {route, service}: Admission & {kind: 'admitted'},
   {endpoints, streamOrigins, findService}: OriginContext,
 ): Promise<OriginResolution> {
-  const {resumedRequestId, lastEventId, deadlineMilliseconds = 0} = metadata;
+  const {resumedRequestId, lastEventId} = metadata;
   if (
     !route.isStream ||
     (resumedRequestId === undefined && lastEventId === undefined)
@@ -56,7 +57,7 @@
   if (resumedRequestId === undefined) {
     const softwareVersion = endpoints.findOnlySoftwareVersion(
       service.name,
-      Math.max(route.timeoutMilliseconds, deadlineMilliseconds),
+      computeTakeUpTime(route, metadata),
     );
     if (softwareVersion === undefined || route.services.length > 1) {
       return reject('it is not named which stream is taken up');
