Keep the later incarnation when the store returns an earlier one

What callers saw: after the store had returned from an old copy, streams that they took up went on at an engine of other software.

Cause: any entry with another start than the last one counted as a restart, also one that started before. A copy of the store brings such entries back; the engine writes its own again within about two seconds.

Change: in the grace period, in which engines write their entries again, an entry of an earlier start is ignored. After it, it is accepted: the clock of an engine may have been set back before its restart. An engine that restarted so within the grace period is read a heartbeat later.

Two tests of the registry, endpoint_registry.

What remains: a gateway that starts while the store has the old entry knows no later one, and believes it until the engine has written its own.

--- a/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
@@ -191,6 +191,25 @@
     assert.deepEqual(readyEvents, ['a', 'a']);
   });
 
+  describe('after the store returned from an old copy', () => {
+    const returnEarlierEntry = (milliseconds: number) => {
+      const {registry, time} = createRegistry();
+      registry.put(createEntry('a', {startedAt: 2, softwareVersion: 'v2'}));
+      registry.startGracePeriod();
+      time.now = milliseconds;
+      registry.put(createEntry('a', {startedAt: 1, softwareVersion: 'v1'}));
+      return registry.find('a')?.softwareVersion;
+    };
+
+    it('keeps the later incarnation until it has written its entry again', () => {
+      assert.equal(returnEarlierEntry(500), 'v2');
+    });
+
+    it('accepts an earlier start later, as clocks may have been set back', () => {
+      assert.equal(returnEarlierEntry(5_000), 'v1');
+    });
+  });
+
   describe('after an outage of the store', () => {
     function createRegistryAfterOutage() {
       const fixture = createRegistry();
--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -138,17 +138,15 @@
   /**
    * Applies an entry of an endpoint. Entries may be written late: one that is
    * older than the last entry of the same incarnation is ignored, and a
-   * draining incarnation does not become ready again.
+   * draining incarnation does not become ready again. During the grace period,
+   * an earlier incarnation is ignored too: the store may have returned it from
+   * an old copy.
    */
   put(entry: EndpointEntry): void {
     const before = this.tracked.get(entry.id)?.entry;
     const lastEntry = before ?? this.removed.get(entry.id)?.entry;
     const isSameIncarnation = lastEntry?.startedAt === entry.startedAt;
-    if (
-      lastEntry !== undefined &&
-      isSameIncarnation &&
-      isStale(entry, lastEntry)
-    ) {
+    if (lastEntry !== undefined && this.isOutdated(entry, lastEntry)) {
       return;
     }
     this.tracked.set(entry.id, {entry});
@@ -310,6 +308,21 @@
       .filter(entry => entry.service === service);
   }
 
+  /** Returns whether an entry is older than the last one of its endpoint. */
+  private isOutdated(entry: EndpointEntry, lastEntry: EndpointEntry): boolean {
+    const {startedAt} = entry;
+    const lastStartedAt = lastEntry.startedAt;
+    if (startedAt === lastStartedAt) {
+      return isStale(entry, lastEntry);
+    }
+    return (
+      startedAt !== undefined &&
+      lastStartedAt !== undefined &&
+      startedAt < lastStartedAt &&
+      this.options.now() < this.graceUntil
+    );
+  }
+
   private recordSoftware({service, softwareVersion}: EndpointEntry): void {
     this.softwareHistory.record(service, softwareVersion);
   }
