Take an entry of other software for a new incarnation

What callers saw: a stream went on at an engine that had returned under its name with other software, where its entries do not say when it started.

Cause: two entries without a start counted as of one incarnation, and the entry with the lower number as a late one.

Change: entries with different software are of different incarnations, as software changes only by a restart.

--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -145,7 +145,8 @@
   put(entry: EndpointEntry): void {
     const before = this.tracked.get(entry.id)?.entry;
     const lastEntry = before ?? this.removed.get(entry.id)?.entry;
-    const isSameIncarnation = lastEntry?.startedAt === entry.startedAt;
+    const isSameIncarnation =
+      lastEntry !== undefined && isOfSameIncarnation(entry, lastEntry);
     if (lastEntry !== undefined && this.isOutdated(entry, lastEntry)) {
       return;
     }
@@ -310,11 +311,11 @@
 
   /** Returns whether an entry is older than the last one of its endpoint. */
   private isOutdated(entry: EndpointEntry, lastEntry: EndpointEntry): boolean {
-    const {startedAt} = entry;
-    const lastStartedAt = lastEntry.startedAt;
-    if (startedAt === lastStartedAt) {
+    if (isOfSameIncarnation(entry, lastEntry)) {
       return isStale(entry, lastEntry);
     }
+    const {startedAt} = entry;
+    const lastStartedAt = lastEntry.startedAt;
     return (
       startedAt !== undefined &&
       lastStartedAt !== undefined &&
@@ -338,6 +339,21 @@
   }
 }
 
+/**
+ * Returns whether two entries of an endpoint are of the same incarnation. An
+ * endpoint has other software only after a restart, also if it does not state
+ * when it started.
+ */
+function isOfSameIncarnation(
+  entry: EndpointEntry,
+  lastEntry: EndpointEntry,
+): boolean {
+  return (
+    entry.startedAt === lastEntry.startedAt &&
+    entry.softwareVersion === lastEntry.softwareVersion
+  );
+}
+
 /**
  * Returns whether an entry is older than the last one of its incarnation, by
  * its sequence number or because the incarnation is already draining.
