Reproduce a software version that is excluded though nothing was read

A gateway that is frozen or cut off from the store for 20 s still says that a service had one version for the last 60 s, both during the gap and after it. Another version may have served meanwhile, and a caller that does not name its stream would be sent to the version that the gateway knows (ORDER). Both tests are red; the one without a gap passes.

--- a/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
@@ -4,7 +4,7 @@
  * and against the loss of all endpoints after a store outage.
  */
 import assert from 'node:assert/strict';
-import {describe, it} from 'node:test';
+import {beforeEach, describe, it} from 'node:test';
 
 import {EndpointRegistry, type EndpointEntry} from './endpoint_registry.js';
 
@@ -261,6 +261,48 @@
     });
   });
 
+  describe('when it is asked for the only software version', () => {
+    const LOOK_BACK_MILLISECONDS = 60_000;
+    let fixture: ReturnType<typeof createRegistry>;
+
+    const findOnly = () =>
+      fixture.registry.findOnlySoftwareVersion('text', LOOK_BACK_MILLISECONDS);
+
+    /** Reads the store once a second, until a time. */
+    const readUntil = (milliseconds: number) => {
+      while (fixture.time.now < milliseconds) {
+        fixture.time.now += 1_000;
+        fixture.registry.recordStoreResponse();
+        fixture.registry.evictExpired();
+      }
+    };
+
+    beforeEach(() => {
+      fixture = createRegistry();
+      fixture.registry.replaceAll([createEntry('a')]);
+    });
+
+    it('knows it from all reads of that time', () => {
+      readUntil(70_000);
+      assert.equal(findOnly(), 'v1');
+    });
+
+    it('does not know it when it has read nothing for long', () => {
+      readUntil(70_000);
+      fixture.time.now += 20_000;
+      assert.equal(findOnly(), undefined);
+    });
+
+    it('does not know it after a time without reads, until that is long ago', () => {
+      readUntil(70_000);
+      fixture.time.now += 20_000;
+      readUntil(fixture.time.now + 50_000);
+      assert.equal(findOnly(), undefined);
+      readUntil(fixture.time.now + 20_000);
+      assert.equal(findOnly(), 'v1');
+    });
+  });
+
   it('notices that an endpoint has come back with other software', () => {
     const {registry} = createRegistry();
     const before = createEntry('e');
