Know no only version of a time in which the endpoints were not read

Cause: the history of software versions began once, at the first read, and counted as whole from then on, also through a freeze of the process or a cut from the store.

Change: the history notes each read of the endpoints. Without one for 10 s it answers nothing, and the next read starts it anew. Reads come every 0.1 to 8 s otherwise, also empty ones.

A gateway that was cut off for less than 10 s may still exclude a version that came meanwhile; callers that name their stream are never affected.

--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -92,3 +92,9 @@
 
 /** Time for which software versions that no endpoint has are remembered. */
 export const SOFTWARE_HISTORY_MILLISECONDS = 120_000;
+
+/**
+ * Longest time between two reads of the endpoints after which no version can
+ * have been missed; gateways that others inform read every 5 to 8 seconds.
+ */
+export const SOFTWARE_HISTORY_GAP_MILLISECONDS = 10_000;
--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -132,7 +132,7 @@
       }
     }
     entries.forEach(entry => this.put(entry));
-    this.softwareHistory.start();
+    this.softwareHistory.recordRead();
   }
 
   /**
@@ -232,10 +232,12 @@
 
   /**
    * Evicts endpoints whose grace period or confirmation time has elapsed, and
-   * the records of endpoints that were removed long ago.
+   * the records of endpoints that were removed long ago. Must be called after
+   * each read of the endpoints.
    */
   evictExpired(): void {
     const now = this.options.now();
+    this.softwareHistory.recordRead();
     this.softwareHistory.forgetOld();
     for (const [id, {removedAt}] of this.removed) {
       if (now - removedAt > REMOVED_ENTRY_RETENTION_MILLISECONDS) {
