--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -94,7 +94,7 @@
 export const SOFTWARE_HISTORY_MILLISECONDS = 120_000;
 
 /**
- * Longest time between two reads of the endpoints after which no version can
- * have been missed; gateways that others inform read every 5 to 8 seconds.
+ * Time without a read of the endpoints after which the history of software
+ * versions starts anew; gateways that others inform read every 5 to 8 seconds.
  */
 export const SOFTWARE_HISTORY_GAP_MILLISECONDS = 10_000;
