--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -132,23 +132,22 @@
       }
     }
     entries.forEach(entry => this.put(entry));
-    this.softwareHistory.start();
+    this.softwareHistory.recordRead();
   }
 
   /**
    * Applies an entry of an endpoint. Entries may be written late: one that is
    * older than the last entry of the same incarnation is ignored, and a
-   * draining incarnation does not become ready again.
+   * draining incarnation does not become ready again. During the grace period,
+   * an earlier incarnation is ignored too: the store may have returned it from
+   * an old copy.
    */
   put(entry: EndpointEntry): void {
     const before = this.tracked.get(entry.id)?.entry;
     const lastEntry = before ?? this.removed.get(entry.id)?.entry;
-    const isSameIncarnation = lastEntry?.startedAt === entry.startedAt;
-    if (
-      lastEntry !== undefined &&
-      isSameIncarnation &&
-      isStale(entry, lastEntry)
-    ) {
+    const isSameIncarnation =
+      lastEntry !== undefined && isOfSameIncarnation(entry, lastEntry);
+    if (lastEntry !== undefined && this.isOutdated(entry, lastEntry)) {
       return;
     }
     this.tracked.set(entry.id, {entry});
@@ -233,10 +232,12 @@
 
   /**
    * Evicts endpoints whose grace period or confirmation time has elapsed, and
-   * the records of endpoints that were removed long ago.
+   * the records of endpoints that were removed long ago. Must be called after
+   * each read of the endpoints.
    */
   evictExpired(): void {
     const now = this.options.now();
+    this.softwareHistory.recordRead();
     this.softwareHistory.forgetOld();
     for (const [id, {removedAt}] of this.removed) {
       if (now - removedAt > REMOVED_ENTRY_RETENTION_MILLISECONDS) {
@@ -310,6 +311,21 @@
       .filter(entry => entry.service === service);
   }
 
+  /** Returns whether an entry is older than the last one of its endpoint. */
+  private isOutdated(entry: EndpointEntry, lastEntry: EndpointEntry): boolean {
+    if (isOfSameIncarnation(entry, lastEntry)) {
+      return isStale(entry, lastEntry);
+    }
+    const {startedAt} = entry;
+    const lastStartedAt = lastEntry.startedAt;
+    return (
+      startedAt !== undefined &&
+      lastStartedAt !== undefined &&
+      startedAt < lastStartedAt &&
+      this.options.now() < this.graceUntil
+    );
+  }
+
   private recordSoftware({service, softwareVersion}: EndpointEntry): void {
     this.softwareHistory.record(service, softwareVersion);
   }
@@ -325,6 +341,21 @@
   }
 }
 
+/**
+ * Returns whether two entries of an endpoint are of the same incarnation. An
+ * endpoint has other software only after a restart, also if it does not state
+ * when it started.
+ */
+function isOfSameIncarnation(
+  entry: EndpointEntry,
+  lastEntry: EndpointEntry,
+): boolean {
+  return (
+    entry.startedAt === lastEntry.startedAt &&
+    entry.softwareVersion === lastEntry.softwareVersion
+  );
+}
+
 /**
  * Returns whether an entry is older than the last one of its incarnation, by
  * its sequence number or because the incarnation is already draining.
