Deliver a rejection although the body still arrives

What callers saw: 10 of 10 requests that a stopping gateway rejected before their body had come got no answer (404 and 503). Cause: the answer closed the connection, the rest of the body met a reset, and a reset discards what is not read yet. Class: a connection that is closed while the other side still sends. Change: the connection closes with a rejection only if the request has been read to its end; else the rest is read and discarded, and the connection closes when the gateway does. The same holds for "not run" answers of a gateway that does not stop.

--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -241,7 +241,7 @@
   }
 
   private rejectRequest(
-    {response, metadata, connectionPosition}: OpenRequest,
+    {request, response, metadata, connectionPosition}: OpenRequest,
     errorResponse: ErrorResponse,
   ): void {
     const {context} = this;
@@ -258,7 +258,9 @@
     });
     sendErrorResponse(response, errorResponse, {
       dialect: context.dialect,
+      // A body that still arrives would meet a reset, which discards the response.
       closeConnection:
+        request.complete &&
         !connectionPosition.isFollowed &&
         (errorResponse.kind === 'not_run' || context.shutdown.hasBegun),
     });
