Answer what a stopping gateway has open before its grace period ends

Seen by callers: a call, a stream or a whole completion that is open at SIGTERM and does not end keeps the gateway running until its supervisor kills it; then none of the open requests is answered. A body that does not come does the same, as the server checks no time limits any more once it closes.

Cause: the wait for open requests had no bound, and the process did not know when it is killed. Ruled out: the deadlines of requests bound it (up to 24 h; streams have no bound once they have begun).

Change: shutdownGraceMilliseconds (30 s by default), counted from the first signal, not from a drain of an operator, as nobody kills the process then. 2 s before its end (half the period if that is shorter) calls are cancelled and answered 502 unknown, sessions revoke their attempt and answer not_run with Retry-After or unknown, streams end with event: error, bodies that have not come are answered 503 not_run. No retry begins then. At the last quarter of this margin the connections are closed, and the line requests_cut counts the requests that still were open.

--- a/packages/daemon/src/briarpind.ts
+++ b/packages/daemon/src/briarpind.ts
@@ -119,7 +119,7 @@
     // send a signal immediately.
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
       process.on(signal, () => {
-        void running.shutDown(signal).then(exit);
+        void running.shutDownInTime(signal).then(exit);
       });
     }
     const {ports} = running.role;
--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -77,10 +77,15 @@
     onMembership: () => endpointDirectory.refresh(),
     drainAndClose: async () => {
       callerServer.close();
-      while (state.openRequests > 0) {
+      const {gracePeriod} = context;
+      while (state.openRequests > 0 && !gracePeriod.mustClose) {
         callerServer.closeIdleConnections();
         await context.clock.sleep(DRAIN_POLL_MILLISECONDS);
       }
+      if (state.openRequests > 0) {
+        const {openRequests} = state;
+        context.logger.warn('requests_cut', {open: openRequests});
+      }
       callerServer.closeAllConnections();
       endpointDirectory.close();
       await new Promise<void>(resolve =>
--- a/packages/daemon/src/gateway/generation_session.ts
+++ b/packages/daemon/src/gateway/generation_session.ts
@@ -38,6 +38,7 @@
 const CANDIDATE_WAIT_MILLISECONDS = 1_000;
 const CANDIDATE_POLL_MILLISECONDS = 20;
 const REVOKE_TIMEOUT_MILLISECONDS = 500;
+const LEAVING_RETRY_AFTER_MILLISECONDS = 1_000;
 const MILLISECONDS_PER_PROMPT_TOKEN = 0.05;
 const BYTES_PER_TOKEN = 8;
 const CHARACTERS_PER_TOKEN = 4;
@@ -109,6 +110,7 @@
   private endpoint: Endpoint | undefined;
   private lastProgressTime = 0;
   private hasDeadlinePassed = false;
+  private isStopping = false;
   private droppedEvents = 0;
   private attempts = 0;
 
@@ -177,6 +179,15 @@
     this.call?.cancel();
   }
 
+  /**
+   * Ends the session because the process ends; its last event is `failed`.
+   */
+  stop(): void {
+    this.isStopping = true;
+    this.abortController.abort();
+    this.call?.cancel();
+  }
+
   /** Sends the result of a run; sends a failure when the run throws. */
   private async deliverResult(run: () => Promise<SessionEvent>): Promise<void> {
     void this.runWatchdog();
@@ -345,6 +356,12 @@
     if (outcome !== Outcome.NOT_RUN) {
       return {kind: 'broken'};
     }
+    if (this.isStopping) {
+      const failure = createFailure(FailureKind.LEAVING, {
+        retryAfterMilliseconds: LEAVING_RETRY_AFTER_MILLISECONDS,
+      });
+      return {kind: 'failed', failure};
+    }
     const kind = this.hasDeadlinePassed
       ? FailureKind.DEADLINE_PASSED
       : FailureKind.REVOKED;
--- a/packages/daemon/src/gateway/handle_completion.ts
+++ b/packages/daemon/src/gateway/handle_completion.ts
@@ -56,7 +56,11 @@
   organisation: string,
   dependencies: GatewayDependencies,
 ): Promise<void> {
-  const body = await readRequestBody(request, dependencies.maximumBodyBytes);
+  const body = await readRequestBody(
+    request,
+    dependencies.maximumBodyBytes,
+    dependencies.context.gracePeriod,
+  );
   const completion = body.andThen(parseCompletion);
   if (completion.isErr) {
     sendHttpError(response, completion.error);
@@ -122,6 +126,7 @@
       session.cancel();
     }
   });
+  const forgetSession = context.gracePeriod.onAnswersDue(() => session.stop());
   const startedAt = context.clock.now();
   runTask('session', context.logger, () =>
     position === undefined
@@ -135,6 +140,7 @@
     caller,
     dependencies,
   );
+  forgetSession();
   const endedAt = context.clock.now();
   const {organisation, requestClass, requestId} = caller;
   context.histograms.record(
--- a/packages/daemon/src/gateway/handle_request.ts
+++ b/packages/daemon/src/gateway/handle_request.ts
@@ -10,7 +10,10 @@
 import {handleCompletion} from './handle_completion.js';
 import {handleServiceCall} from './handle_service_call.js';
 import {
+  createLeavingError,
   createRequestError,
+  RESEND_REMEDY,
+  RETRY_AFTER_MILLISECONDS,
   sendHttpError,
   type HttpError,
 } from './http_errors.js';
@@ -97,13 +100,12 @@
   dependencies: GatewayDependencies,
   options: RequestListenerOptions,
 ): HttpError | undefined {
-  const remedy = 'send the request again, to another gateway if there is one';
   const createRefusal = (type: string, message: string): HttpError => ({
-    ...createRequestError(503, type, message, remedy),
-    retryAfterMilliseconds: 1_000,
+    ...createRequestError(503, type, message, RESEND_REMEDY),
+    retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
   });
   if (options.state.isDraining) {
-    return createRefusal('leaving', 'the gateway is leaving');
+    return createLeavingError();
   }
   if (!dependencies.context.replica.isReady) {
     return createRefusal('not_ready', 'the gateway has no configuration yet');
--- a/packages/daemon/src/gateway/handle_service_call.ts
+++ b/packages/daemon/src/gateway/handle_service_call.ts
@@ -78,7 +78,11 @@
     );
     return;
   }
-  const body = await readRequestBody(request, dependencies.maximumBodyBytes);
+  const body = await readRequestBody(
+    request,
+    dependencies.maximumBodyBytes,
+    dependencies.context.gracePeriod,
+  );
   const caller = readCallerRequest(
     request,
     organisation,
@@ -196,7 +200,11 @@
       remainingMilliseconds: caller.deadline - context.clock.now(),
       untriedEndpoints: 1,
     });
-    const isAllowed = mayRetry && prepared.isRetryable && !isFinal;
+    const isAllowed =
+      mayRetry &&
+      prepared.isRetryable &&
+      !isFinal &&
+      !context.gracePeriod.areAnswersDue;
     if (!isAllowed || !limits.retryBudget.tryAcquire()) {
       return toFailedReply(lastFailure, isCertainlyNotRun);
     }
@@ -240,12 +248,13 @@
   endpoint.sentSinceReport += 1;
   endpoint.openRequests += 1;
   return new Promise(resolve => {
-    endpoint.client.callService(
+    const call = endpoint.client.callService(
       message,
       new Metadata(),
       {deadline},
       (error, reply) => {
         endpoint.openRequests -= 1;
+        forgetCall();
         resolve(
           error === null && reply !== undefined
             ? reply
@@ -253,6 +262,7 @@
         );
       },
     );
+    const forgetCall = context.gracePeriod.onAnswersDue(() => call.cancel());
   });
 }
 
--- a/packages/daemon/src/gateway/http_errors.ts
+++ b/packages/daemon/src/gateway/http_errors.ts
@@ -29,6 +29,11 @@
 };
 const DEFAULT_STATUS = 503;
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Time after which a refused request may be sent again. */
+export const RETRY_AFTER_MILLISECONDS = 1_000;
+/** Remedy for a request that another gateway may take. */
+export const RESEND_REMEDY =
+  'send the request again, to another gateway if there is one';
 
 /** Converts an outcome to its name; an unspecified outcome is `unknown`. */
 export function toOutcomeName(outcome: Outcome): OutcomeName {
@@ -72,6 +77,23 @@
   return {status, type, message, remedy, outcome: 'not_run'};
 }
 
+/**
+ * Creates the error response for a request that a leaving gateway has not run.
+ *
+ * @returns A 503 response of the type `leaving`, with the time to come back
+ */
+export function createLeavingError(): HttpError {
+  return {
+    ...createRequestError(
+      503,
+      'leaving',
+      'the gateway is leaving',
+      RESEND_REMEDY,
+    ),
+    retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
+  };
+}
+
 /** Formats the JSON body of an error response. */
 export function formatErrorBody(error: HttpError): string {
   const {type, message, outcome, remedy} = error;
--- a/packages/daemon/src/gateway/read_request_body.ts
+++ b/packages/daemon/src/gateway/read_request_body.ts
@@ -5,23 +5,49 @@
 
 import {Result} from 'true-myth';
 
-import {createRequestError, type HttpError} from './http_errors.js';
+import type {GracePeriod} from '../shared/grace_period.js';
+import {
+  createLeavingError,
+  createRequestError,
+  type HttpError,
+} from './http_errors.js';
 
 /**
  * Reads a request body up to a size limit.
  *
  * @param request - The request
  * @param maximumBytes - Maximum size of the body, in bytes
- * @returns The body, or the error response when it is too large or incomplete
+ * @param gracePeriod - Grace period of the process
+ * @returns The body, or the error response when it is too large, incomplete, or
+ *     has not come when the answers of a stopping process are due
  */
 export async function readRequestBody(
   request: http.IncomingMessage,
   maximumBytes: number,
+  gracePeriod: GracePeriod,
 ): Promise<Result<Buffer, HttpError>> {
   const declaredBytes = Number(request.headers['content-length'] ?? 0);
   if (declaredBytes > maximumBytes) {
     return Result.err(createTooLargeError(maximumBytes));
   }
+  let stopWaiting: () => void = () => undefined;
+  const answersDue = new Promise<Result<Buffer, HttpError>>(resolve => {
+    stopWaiting = gracePeriod.onAnswersDue(() =>
+      resolve(Result.err(createLeavingError())),
+    );
+  });
+  const body = await Promise.race([
+    readWhole(request, maximumBytes),
+    answersDue,
+  ]);
+  stopWaiting();
+  return body;
+}
+
+async function readWhole(
+  request: http.IncomingMessage,
+  maximumBytes: number,
+): Promise<Result<Buffer, HttpError>> {
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
   try {
--- a/packages/daemon/src/shared/process_context.ts
+++ b/packages/daemon/src/shared/process_context.ts
@@ -12,6 +12,7 @@
 
 import type {EventLogger} from '@briarpin/telemetry';
 import type {HistogramRegistry} from '@briarpin/telemetry';
+import type {GracePeriod} from './grace_period.js';
 
 /** Dependencies of both roles; constructed by the module that wires them. */
 export interface ProcessContext {
@@ -29,6 +30,8 @@
   readonly suspicions: SuspicionTable;
   readonly channelCredentials: ChannelCredentials;
   readonly serverCredentials: ServerCredentials;
+  /** Time between a signal and the end of the process. */
+  readonly gracePeriod: GracePeriod;
   /** Aborted when the process ends; stops all background tasks. */
   readonly signal: AbortSignal;
 }
--- a/packages/daemon/src/shared/running_role.ts
+++ b/packages/daemon/src/shared/running_role.ts
@@ -14,7 +14,10 @@
   readonly onConfiguration: () => void;
   /** Called after each membership list that was read. */
   readonly onMembership?: () => void;
-  /** Resolves when all requests have ended and all servers are closed. */
+  /**
+   * Resolves when all requests have ended or the grace period is over, and all
+   * servers are closed.
+   */
   readonly drainAndClose: () => Promise<void>;
   /** Called when an operator requests a graceful shutdown. */
   requestDrain: (reason: string) => void;
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -19,6 +19,10 @@
 import {pullUntilReady} from './shared/configuration_peer.js';
 import {followMembership} from './shared/follow_membership.js';
 import {followSuspicions} from './shared/follow_suspicions.js';
+import {
+  DEFAULT_SHUTDOWN_GRACE_MILLISECONDS,
+  GracePeriod,
+} from './shared/grace_period.js';
 import type {ProcessContext} from './shared/process_context.js';
 import type {RunningRole} from './shared/running_role.js';
 import {
@@ -46,6 +50,11 @@
    * All calls return the promise of the first one.
    */
   readonly shutDown: (reason: string) => Promise<void>;
+  /**
+   * Does the same and begins the grace period, after which the supervisor of
+   * the process kills it.
+   */
+  readonly shutDownInTime: (reason: string) => Promise<void>;
 }
 
 /**
@@ -135,6 +144,10 @@
     suspicions: new SuspicionTable(),
     channelCredentials: createChannelCredentials(settings.tls),
     serverCredentials: createServerCredentials(settings.tls),
+    gracePeriod: new GracePeriod(
+      SYSTEM_CLOCK,
+      settings.shutdownGraceMilliseconds ?? DEFAULT_SHUTDOWN_GRACE_MILLISECONDS,
+    ),
     signal,
   };
 }
@@ -144,18 +157,23 @@
   context: ProcessContext,
   abortController: AbortController,
 ): RunningProcess {
-  let shutDown: Promise<void> | undefined;
+  let ended: Promise<void> | undefined;
+  const shutDown = (reason: string): Promise<void> => {
+    ended ??= (async () => {
+      role.startDraining(reason);
+      await role.drainAndClose();
+      abortController.abort();
+      context.logger.info('ended');
+    })();
+    return ended;
+  };
   return {
     role,
     logger: context.logger,
-    shutDown: reason => {
-      shutDown ??= (async () => {
-        role.startDraining(reason);
-        await role.drainAndClose();
-        abortController.abort();
-        context.logger.info('ended');
-      })();
-      return shutDown;
+    shutDown,
+    shutDownInTime: reason => {
+      context.gracePeriod.start();
+      return shutDown(reason);
     },
   };
 }
