End a stopping sidecar within its grace period, with an answer to what is open

Seen by callers: a call whose service does not answer, a call that waits for its claim while the log is out, a generation that goes on, or a gateway that reads nothing keeps the sidecar running until its supervisor kills it, and the gateway learns of it from a broken connection alone: the call that had never been sent is then answered unknown.

Cause: as at the gateway, no bound on the wait. Ruled out: an exchange stream that its peer never ends (green before).

Change: when the answers are due, calls that were sent are answered ENDPOINT_DIED (unknown), those that wait for the answer of another attempt CLAIMED_ELSEWHERE (unknown), those not sent LEAVING (not_run, Retry-After), and none is sent any more. Generations that go on are not failed by the sidecar: its gRPC streams are cut, so that gateways continue them at the next sidecar of the engine, for 10 s as after a SIGKILL, and end them with event: error else. gRPC calls that are open at the end are cancelled.

--- a/packages/daemon/src/shared/serve_grpc.ts
+++ b/packages/daemon/src/shared/serve_grpc.ts
@@ -1,10 +1,14 @@
 /**
- * Creation and binding of gRPC servers.
+ * Creation, binding and closing of gRPC servers.
  */
+import type {Clock} from '@briarpin/coordination';
 import {Server, type ServerCredentials} from '@grpc/grpc-js';
 
+import type {GracePeriod} from './grace_period.js';
 import {CHANNEL_OPTIONS} from './transport_credentials.js';
 
+const CLOSE_POLL_MILLISECONDS = 20;
+
 /**
  * Creates a gRPC server with the options that all processes share.
  *
@@ -38,3 +42,26 @@
     });
   });
 }
+
+/**
+ * Closes a server when its calls have ended, or when the process must end.
+ *
+ * @param server - The server
+ * @param gracePeriod - Grace period of the process; calls that are open at its
+ *     end are cancelled
+ * @param clock - Clock of the process
+ */
+export async function closeGrpcServer(
+  server: Server,
+  gracePeriod: GracePeriod,
+  clock: Clock,
+): Promise<void> {
+  let isClosed = false;
+  server.tryShutdown(() => (isClosed = true));
+  while (!isClosed && !gracePeriod.mustClose) {
+    await clock.sleep(CLOSE_POLL_MILLISECONDS);
+  }
+  if (!isClosed) {
+    server.forceShutdown();
+  }
+}
--- a/packages/daemon/src/sidecar/service_runner.ts
+++ b/packages/daemon/src/sidecar/service_runner.ts
@@ -26,6 +26,7 @@
 const CLAIM_DEADLINE_SHARE = 0.8;
 /** Age above which an acquired claim is abandoned instead of used. */
 const CLAIM_MAXIMUM_AGE_MILLISECONDS = 10_000;
+const LEAVING_RETRY_AFTER_MILLISECONDS = 1_000;
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 
 /** Recorded when a call was sent and no complete response was received. */
@@ -52,6 +53,8 @@
   private readonly openAttemptIds = new Set<string>();
   private readonly revokedAttemptIds = new Set<string>();
   private readonly sentAttemptIds = new Set<string>();
+  /** Calls that wait for the response of the attempt that holds the claim. */
+  private readonly replayingAttemptIds = new Set<string>();
   private openCallCount = 0;
   private isDraining = false;
   private readonly bootId = randomUUID();
@@ -85,14 +88,18 @@
     this.openCallCount += 1;
     this.openAttemptIds.add(call.attemptId);
     try {
-      return call.idempotent
-        ? await this.send(call, deadline)
-        : await this.claimAndCall(call, deadline);
+      return await this.answerInTime(
+        call,
+        call.idempotent
+          ? this.send(call, deadline)
+          : this.claimAndCall(call, deadline),
+      );
     } finally {
       this.openCallCount -= 1;
       this.openAttemptIds.delete(call.attemptId);
       this.revokedAttemptIds.delete(call.attemptId);
       this.sentAttemptIds.delete(call.attemptId);
+      this.replayingAttemptIds.delete(call.attemptId);
     }
   }
 
@@ -129,6 +136,38 @@
     };
   }
 
+  /** Answers a call that still runs when the answers of the process are due. */
+  private async answerInTime(
+    call: ServiceCall,
+    running: Promise<ServiceReply>,
+  ): Promise<ServiceReply> {
+    let stopWaiting: () => void = () => undefined;
+    const answersDue = new Promise<ServiceReply>(resolve => {
+      stopWaiting = this.context.gracePeriod.onAnswersDue(() =>
+        resolve(this.createStoppedReply(call)),
+      );
+    });
+    try {
+      return await Promise.race([running, answersDue]);
+    } finally {
+      stopWaiting();
+    }
+  }
+
+  private createStoppedReply(call: ServiceCall): ServiceReply {
+    if (this.sentAttemptIds.has(call.attemptId)) {
+      return createFailureReply(FailureKind.ENDPOINT_DIED, {
+        message: 'the sidecar ended before the service answered',
+      });
+    }
+    // The attempt that holds the claim may have run.
+    return this.replayingAttemptIds.has(call.attemptId)
+      ? createFailureReply(FailureKind.CLAIMED_ELSEWHERE)
+      : createFailureReply(FailureKind.LEAVING, {
+          retryAfterMilliseconds: LEAVING_RETRY_AFTER_MILLISECONDS,
+        });
+  }
+
   private async claimAndCall(
     call: ServiceCall,
     deadline: number,
@@ -150,6 +189,7 @@
       });
     }
     if (result.kind === 'lost') {
+      this.replayingAttemptIds.add(call.attemptId);
       return this.replayResponse(call, result.holder, deadline);
     }
     // The process may have been suspended since it acquired the claim.
@@ -255,7 +295,10 @@
   }
 
   private isRevoked(call: ServiceCall): boolean {
-    return this.revokedAttemptIds.has(call.attemptId);
+    return (
+      this.revokedAttemptIds.has(call.attemptId) ||
+      this.context.gracePeriod.areAnswersDue
+    );
   }
 }
 
--- a/packages/daemon/src/sidecar/sidecar.ts
+++ b/packages/daemon/src/sidecar/sidecar.ts
@@ -11,7 +11,11 @@
 import {addConfigurationPeerService} from '../shared/configuration_peer.js';
 import type {ProcessContext} from '../shared/process_context.js';
 import type {RunningRole} from '../shared/running_role.js';
-import {bindGrpcServer, createGrpcServer} from '../shared/serve_grpc.js';
+import {
+  bindGrpcServer,
+  closeGrpcServer,
+  createGrpcServer,
+} from '../shared/serve_grpc.js';
 import {ExchangeService} from './exchange_service.js';
 import {ModelRunner} from './model_runner.js';
 import {ModelReconciler} from './model_reconciler.js';
@@ -83,11 +87,20 @@
     onConfiguration: () => exchange.broadcast(),
     drainAndClose: async () => {
       const openCount = () => model?.openCount ?? service?.runningCount ?? 0;
-      while (openCount() > 0) {
-        await context.clock.sleep(DRAIN_POLL_MILLISECONDS);
+      const {clock, gracePeriod} = context;
+      const mustStopWaiting = () =>
+        model === undefined ? gracePeriod.mustClose : gracePeriod.areAnswersDue;
+      while (openCount() > 0 && !mustStopWaiting()) {
+        await clock.sleep(DRAIN_POLL_MILLISECONDS);
       }
       exchange.close();
-      await new Promise<void>(resolve => server.tryShutdown(() => resolve()));
+      if (openCount() > 0) {
+        // Gateways take the streams up again at the next sidecar of the engine.
+        context.logger.warn('requests_cut', {open: openCount()});
+        server.forceShutdown();
+        return;
+      }
+      await closeGrpcServer(server, gracePeriod, clock);
     },
     requestDrain: () => undefined,
   };
