Reproduce a gateway that a peer's gRPC call keeps from ending

A peer that has sent the head of a call and not its message (it is suspended, or its network is cut) keeps the gateway's internal server, and so the process, open: it still runs 4 s after SIGTERM, with a grace period of 2 s and no open request.

--- a/packages/stand_ins/src/invariants/stopping_gateway.test.ts
+++ b/packages/stand_ins/src/invariants/stopping_gateway.test.ts
@@ -11,6 +11,7 @@
 
 import {Fleet, type FleetGateway} from '../fleet/fleet.js';
 import {callService, requestCompletion} from '../fleet/gateway_client.js';
+import {openCall} from '../fleet/open_call.js';
 import {RawConnection} from '../fleet/raw_connection.js';
 import {
   createTestPlan,
@@ -349,4 +350,13 @@
     assertEndedInTime(await stop(gateway, 'SIGTERM'));
     connection.close();
   });
+
+  it('ends within its grace period beside a call of a peer that never ends', async () => {
+    const gateway = await startGateway();
+    const started = await gateway.process.waitFor('started');
+    const call = openCall(started['internal_port'] ?? '');
+    await sleep(ARRIVAL_MILLISECONDS);
+    assertEndedInTime(await stop(gateway, 'SIGTERM'));
+    call.close();
+  });
 });
--- a/packages/stand_ins/src/invariants/stopping_sidecar.test.ts
+++ b/packages/stand_ins/src/invariants/stopping_sidecar.test.ts
@@ -15,6 +15,7 @@
   expectedText,
   requestCompletion,
 } from '../fleet/gateway_client.js';
+import {openCall} from '../fleet/open_call.js';
 import {createTestPlan, KEY, MODEL, RESERVATION_PATH} from './test_plan.js';
 
 const GRACE_MILLISECONDS = 2_000;
@@ -172,6 +173,15 @@
     client.close();
   });
 
+  it('ends within its grace period beside a call of a peer that never ends', async () => {
+    const sidecar = fleet.sidecar('modelo-1');
+    const started = await sidecar.waitFor('started');
+    const call = openCall(started['internal_port'] ?? '');
+    await sleep(ARRIVAL_MILLISECONDS);
+    assertEndedInTime(await stop(sidecar));
+    call.close();
+  });
+
   it('answers waiting generations not_run with the time to come back', async () => {
     const pending = Array.from({length: WAITING_CALLERS}, (_, index) =>
       requestCompletion({
