End a stopping gateway although a peer's gRPC call stays open

Cause: tryShutdown waits for every call, also for one whose peer never sends the rest. Change: as at the sidecar, the calls that are open at the end of the grace period are cancelled. Callers have their answers by then, so nothing of theirs is at stake; the supervisor no longer has to kill the process.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -14,7 +14,11 @@
 import {addConfigurationPeerService} from '../shared/configuration_peer.js';
 import type {ProcessContext} from '../shared/process_context.js';
 import type {RunningRole} from '../shared/running_role.js';
-import {bindGrpcServer, createGrpcServer} from '../shared/serve_grpc.js';
+import {
+  bindGrpcServer,
+  closeGrpcServer,
+  createGrpcServer,
+} from '../shared/serve_grpc.js';
 import {AccessDirectory} from './access_directory.js';
 import {EndpointDirectory} from './endpoint_directory.js';
 import type {GatewayDependencies} from './gateway_dependencies.js';
@@ -88,9 +92,7 @@
       }
       callerServer.closeAllConnections();
       endpointDirectory.close();
-      await new Promise<void>(resolve =>
-        internalServer.tryShutdown(() => resolve()),
-      );
+      await closeGrpcServer(internalServer, gracePeriod, context.clock);
     },
     requestDrain: () => undefined,
   };
