Say when to come back in refusals of a leaving sidecar

Seen by callers: a generation that waits at a sidecar which gets SIGTERM, with no other endpoint free, is answered 503 not_run without Retry-After; its remedy says to send it again, and does not say when.

Cause: the failure LEAVING had no time of its own, and the sidecar gave none. Ruled out: the gateway drops the time (it passes on what the failure has). Change: LEAVING carries 1 s, in which gateways learn from the membership list and the sidecars' reports who leaves; the places that set it by hand no longer do.

--- a/packages/daemon/src/gateway/generation_session.ts
+++ b/packages/daemon/src/gateway/generation_session.ts
@@ -38,7 +38,6 @@
 const CANDIDATE_WAIT_MILLISECONDS = 1_000;
 const CANDIDATE_POLL_MILLISECONDS = 20;
 const REVOKE_TIMEOUT_MILLISECONDS = 500;
-const LEAVING_RETRY_AFTER_MILLISECONDS = 1_000;
 const MILLISECONDS_PER_PROMPT_TOKEN = 0.05;
 const BYTES_PER_TOKEN = 8;
 const CHARACTERS_PER_TOKEN = 4;
@@ -357,9 +356,7 @@
       return {kind: 'broken'};
     }
     if (this.isStopping) {
-      const failure = createFailure(FailureKind.LEAVING, {
-        retryAfterMilliseconds: LEAVING_RETRY_AFTER_MILLISECONDS,
-      });
+      const failure = createFailure(FailureKind.LEAVING);
       return {kind: 'failed', failure};
     }
     const kind = this.hasDeadlinePassed
--- a/packages/daemon/src/shared/failures.ts
+++ b/packages/daemon/src/shared/failures.ts
@@ -14,10 +14,13 @@
   readonly outcome: Outcome;
   readonly message: string;
   readonly remedy: string;
+  readonly retryAfterMilliseconds?: number;
 }
 
 const RETRY_LATER_REMEDY =
   'send the request again after the time in Retry-After';
+/** Time in which gateways learn that an instance leaves. */
+const LEAVING_RETRY_AFTER_MILLISECONDS = 1_000;
 const RETRY_REMEDY = 'send the request again';
 
 const FAILURE_DEFAULTS: Readonly<
@@ -26,7 +29,8 @@
   [FailureKind.LEAVING]: {
     outcome: Outcome.NOT_RUN,
     message: 'the instance is leaving and takes no new work',
-    remedy: RETRY_REMEDY,
+    remedy: RETRY_LATER_REMEDY,
+    retryAfterMilliseconds: LEAVING_RETRY_AFTER_MILLISECONDS,
   },
   [FailureKind.OVERLOADED]: {
     outcome: Outcome.NOT_RUN,
@@ -109,7 +113,7 @@
   kind: FailureKind,
   details: FailureDetails = {},
 ): Failure {
-  const defaults = FAILURE_DEFAULTS[kind] ?? {
+  const defaults: FailureDefaults = FAILURE_DEFAULTS[kind] ?? {
     outcome: Outcome.UNKNOWN,
     message: 'the request failed',
     remedy: RETRY_REMEDY,
@@ -119,7 +123,8 @@
     outcome: defaults.outcome,
     message: details.message ?? defaults.message,
     remedy: defaults.remedy,
-    retryAfterMilliseconds: details.retryAfterMilliseconds ?? 0,
+    retryAfterMilliseconds:
+      details.retryAfterMilliseconds ?? defaults.retryAfterMilliseconds ?? 0,
     deathId: details.deathId ?? '',
   };
 }
--- a/packages/daemon/src/sidecar/service_runner.ts
+++ b/packages/daemon/src/sidecar/service_runner.ts
@@ -26,7 +26,6 @@
 const CLAIM_DEADLINE_SHARE = 0.8;
 /** Age above which an acquired claim is abandoned instead of used. */
 const CLAIM_MAXIMUM_AGE_MILLISECONDS = 10_000;
-const LEAVING_RETRY_AFTER_MILLISECONDS = 1_000;
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 
 /** Recorded when a call was sent and no complete response was received. */
@@ -163,9 +162,7 @@
     // The attempt that holds the claim may have run.
     return this.replayingAttemptIds.has(call.attemptId)
       ? createFailureReply(FailureKind.CLAIMED_ELSEWHERE)
-      : createFailureReply(FailureKind.LEAVING, {
-          retryAfterMilliseconds: LEAVING_RETRY_AFTER_MILLISECONDS,
-        });
+      : createFailureReply(FailureKind.LEAVING);
   }
 
   private async claimAndCall(
