Tell callers of open requests that a stopping gateway closes their connection

Seen by callers: the answer to a call that ran at SIGTERM says Connection: keep-alive, and the connection is closed up to 20 ms later. The next call of the same caller, sent in that time, breaks off; one that may not be repeated ends unknown.

Cause: the header was set for requests that come after the signal alone, and all of those are refused before that line. Ruled out: Node adds it (it does not after close()). Change: the gateway keeps its open responses; when it begins to drain, the last one of each connection gets Connection: close if its headers have not been sent. Only the last: behind an earlier one, requests that were sent ahead would lose their answers; a test with two such calls and a third after the signal shows 200, 200, 503.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -22,7 +22,11 @@
 import {AccessDirectory} from './access_directory.js';
 import {EndpointDirectory} from './endpoint_directory.js';
 import type {GatewayDependencies} from './gateway_dependencies.js';
-import {createRequestListener} from './handle_request.js';
+import {
+  createRequestListener,
+  type RequestListenerOptions,
+} from './handle_request.js';
+import {OpenResponses} from './open_responses.js';
 import {PrefixHints} from './prefix_hints.js';
 
 const DEFAULT_MAXIMUM_BODY_BYTES = 1_048_576;
@@ -47,7 +51,11 @@
 ): Promise<RunningRole> {
   const dependencies = createDependencies(settings, context);
   const {endpointDirectory, accessDirectory} = dependencies;
-  const state = {isDraining: false, openRequests: 0};
+  const state = {
+    isDraining: false,
+    openRequests: 0,
+    responses: new OpenResponses(),
+  };
   const status = (): StatusReply => ({
     instance: settings.instance,
     role: 'gateway',
@@ -71,6 +79,7 @@
     startDraining: reason => {
       if (!state.isDraining) {
         state.isDraining = true;
+        state.responses.announceClose();
         context.logger.info('leaving', {reason});
       }
     },
@@ -140,7 +149,7 @@
 function createCallerServer(
   settings: GatewaySettings,
   dependencies: GatewayDependencies,
-  state: {isDraining: boolean; openRequests: number},
+  state: RequestListenerOptions['state'],
   status: () => StatusReply,
 ): http.Server {
   const timeout =
--- a/packages/daemon/src/gateway/handle_request.ts
+++ b/packages/daemon/src/gateway/handle_request.ts
@@ -9,6 +9,7 @@
 import type {GatewayDependencies} from './gateway_dependencies.js';
 import {handleCompletion} from './handle_completion.js';
 import {handleServiceCall} from './handle_service_call.js';
+import type {OpenResponses} from './open_responses.js';
 import {
   createLeavingError,
   createRequestError,
@@ -20,7 +21,11 @@
 
 /** Options of {@link createRequestListener}. */
 export interface RequestListenerOptions {
-  readonly state: {readonly isDraining: boolean; openRequests: number};
+  readonly state: {
+    readonly isDraining: boolean;
+    openRequests: number;
+    readonly responses: OpenResponses;
+  };
   readonly status: () => StatusReply;
   /** Number of open requests at which further requests are rejected. */
   readonly maximumOpenRequests: number;
@@ -48,6 +53,7 @@
   return (request, response) => {
     request.on('error', () => undefined);
     response.on('error', () => undefined);
+    options.state.responses.add(response);
     if (!handleProbe(request, response, dependencies, options)) {
       runTask('request', dependencies.context.logger, () =>
         serveRequest(request, response, dependencies, options),
@@ -80,9 +86,6 @@
   }
   state.openRequests += 1;
   response.once('close', () => (state.openRequests -= 1));
-  if (state.isDraining) {
-    response.setHeader('Connection', 'close');
-  }
   await handler(request, response, organisation, dependencies);
 }
 
--- a/packages/stand_ins/src/invariants/stopping_gateway.test.ts
+++ b/packages/stand_ins/src/invariants/stopping_gateway.test.ts
@@ -216,6 +216,26 @@
     assert.match(connection.received, /\r\nConnection: close\r\n/i);
   });
 
+  it('answers every call of a connection whose caller sends requests ahead', async () => {
+    const gateway = await startGateway();
+    const connection = await RawConnection.open(gateway.url);
+    const service = fleet.service('plataforma');
+    service.setFault({kind: 'slow', milliseconds: SHORT_CALL_MILLISECONDS});
+    connection.send(formatHead(0).repeat(2));
+    await sleep(ARRIVAL_MILLISECONDS);
+    const ended = stop(gateway, 'SIGTERM');
+    await gateway.process.waitFor('leaving');
+    connection.send(formatHead(0));
+    assertEndedInTime(await ended);
+    await connection.closed;
+    const statuses = connection.received.match(/HTTP\/1\.1 \d+/g);
+    assert.deepEqual(statuses, [
+      'HTTP/1.1 200',
+      'HTTP/1.1 200',
+      'HTTP/1.1 503',
+    ]);
+  });
+
   it('finishes a call although SIGTERM and SIGINT come again', async () => {
     const gateway = await startGateway();
     const pending = reserve(gateway, SHORT_CALL_MILLISECONDS);
