Reproduce requests sent ahead that stay open after their caller has gone

A caller sends 3 requests ahead on one connection and closes it: 2 of them are counted as open for ever (running=2 in /readyz, 0.6 s after the service has answered). A gateway that drains waits for them to the end; one that does not reaches maximumOpenRequests in time and refuses everybody.

--- a/packages/stand_ins/src/invariants/stopping_gateway.test.ts
+++ b/packages/stand_ins/src/invariants/stopping_gateway.test.ts
@@ -236,6 +236,21 @@
     ]);
   });
 
+  it('ends although a caller that sent requests ahead has gone', async () => {
+    const gateway = await startGateway();
+    const connection = await RawConnection.open(gateway.url);
+    const service = fleet.service('plataforma');
+    service.setFault({kind: 'slow', milliseconds: SHORT_CALL_MILLISECONDS});
+    connection.send(formatHead(0).repeat(3));
+    await sleep(ARRIVAL_MILLISECONDS);
+    connection.close();
+    await sleep(SHORT_CALL_MILLISECONDS);
+    const status = await fetch(`${gateway.url}/readyz`);
+    const {running} = (await status.json()) as {running?: number};
+    assert.equal(running ?? 0, 0);
+    assertEndedInTime(await stop(gateway, 'SIGTERM'));
+  });
+
   it('finishes a call although SIGTERM and SIGINT come again', async () => {
     const gateway = await startGateway();
     const pending = reserve(gateway, SHORT_CALL_MILLISECONDS);
