End requests that were sent ahead when their caller has gone

Cause: when a connection closes, Node.js emits 'close' for the response whose turn it is and for none of those behind it; the gateway counts a request until its response closes. Ruled out: the calls run on (the service had answered all three). Change: the open responses are kept by connection; when it closes, those that were not sent yet are destroyed and closed too, which also cancels their sessions.

--- a/packages/daemon/src/gateway/open_responses.ts
+++ b/packages/daemon/src/gateway/open_responses.ts
@@ -4,16 +4,19 @@
 import type http from 'node:http';
 import type {Socket} from 'node:net';
 
-/** Tracks responses from the first byte of a request's handler to their end. */
+/** Tracks responses from the start of a request's handler to their end. */
 export class OpenResponses {
-  private readonly responses = new Set<http.ServerResponse>();
-  /** Last response of each connection; a caller may send requests ahead. */
-  private readonly lastResponses = new Map<Socket, http.ServerResponse>();
+  /** Responses of each connection in the order of their requests. */
+  private readonly connections = new Map<Socket, Set<http.ServerResponse>>();
   private mustCloseConnections = false;
 
   /** Number of responses that have not ended. */
   get size(): number {
-    return this.responses.size;
+    let count = 0;
+    for (const responses of this.connections.values()) {
+      count += responses.size;
+    }
+    return count;
   }
 
   /**
@@ -22,15 +25,12 @@
    * @param response - Response whose headers have not been sent
    */
   add(response: http.ServerResponse): void {
-    const {socket} = response.req;
-    const previous = this.lastResponses.get(socket);
-    this.responses.add(response);
-    this.lastResponses.set(socket, response);
-    response.once('close', () => this.remove(response, socket));
+    const responses = this.findConnection(response.req.socket);
+    const previous = findLast(responses);
+    responses.add(response);
+    response.once('close', () => responses.delete(response));
     if (this.mustCloseConnections) {
-      if (previous !== undefined) {
-        setConnectionHeader(previous, 'keep-alive');
-      }
+      setConnectionHeader(previous, 'keep-alive');
       setConnectionHeader(response, 'close');
     }
   }
@@ -41,24 +41,45 @@
    */
   announceClose(): void {
     this.mustCloseConnections = true;
-    for (const response of this.lastResponses.values()) {
-      setConnectionHeader(response, 'close');
+    for (const responses of this.connections.values()) {
+      setConnectionHeader(findLast(responses), 'close');
     }
   }
 
-  private remove(response: http.ServerResponse, socket: Socket): void {
-    this.responses.delete(response);
-    if (this.lastResponses.get(socket) === response) {
-      this.lastResponses.delete(socket);
+  private findConnection(socket: Socket): Set<http.ServerResponse> {
+    const existing = this.connections.get(socket);
+    if (existing !== undefined) {
+      return existing;
     }
+    const responses = new Set<http.ServerResponse>();
+    this.connections.set(socket, responses);
+    socket.once('close', () => {
+      this.connections.delete(socket);
+      responses.forEach(closeUnsent);
+    });
+    return responses;
   }
 }
 
+/** Node.js closes only the response whose turn it is when a caller has gone. */
+function closeUnsent(response: http.ServerResponse): void {
+  if (response.socket === null) {
+    response.destroy();
+    response.emit('close');
+  }
+}
+
+function findLast(
+  responses: ReadonlySet<http.ServerResponse>,
+): http.ServerResponse | undefined {
+  return [...responses].at(-1);
+}
+
 function setConnectionHeader(
-  response: http.ServerResponse,
+  response: http.ServerResponse | undefined,
   value: 'close' | 'keep-alive',
 ): void {
-  if (!response.headersSent) {
+  if (response !== undefined && !response.headersSent) {
     response.setHeader('Connection', value);
   }
 }
