Let a refused caller read its answer while it still sends its body

Seen by callers: a request with a body of 900 kB, refused as the gateway leaves (or is overloaded, or the key or the path is unknown), ends with EPIPE or ECONNRESET. Its caller can not know that it has not run.

Cause: the refusal closed the connection with unread bytes, which resets it; a reset drops what the caller has not read yet. Ruled out: an answer that was not written. The drain waits for every response that is not sent whole, refusals too.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -91,13 +91,13 @@
     drainAndClose: async () => {
       callerServer.close();
       const {gracePeriod} = context;
-      while (state.openRequests > 0 && !gracePeriod.mustClose) {
+      while (state.responses.size > 0 && !gracePeriod.mustClose) {
         callerServer.closeIdleConnections();
         await context.clock.sleep(DRAIN_POLL_MILLISECONDS);
       }
-      if (state.openRequests > 0) {
-        const {openRequests} = state;
-        context.logger.warn('requests_cut', {open: openRequests});
+      if (state.responses.size > 0) {
+        const {size} = state.responses;
+        context.logger.warn('requests_cut', {open: size});
       }
       callerServer.closeAllConnections();
       endpointDirectory.close();
--- a/packages/daemon/src/gateway/handle_request.ts
+++ b/packages/daemon/src/gateway/handle_request.ts
@@ -15,9 +15,9 @@
   createRequestError,
   RESEND_REMEDY,
   RETRY_AFTER_MILLISECONDS,
-  sendHttpError,
   type HttpError,
 } from './http_errors.js';
+import {sendRefusal} from './send_refusal.js';
 
 /** Options of {@link createRequestListener}. */
 export interface RequestListenerOptions {
@@ -77,11 +77,11 @@
     findAdmissionError(dependencies, options) ??
     (organisation === undefined ? createUnauthorizedError() : undefined);
   if (error !== undefined || organisation === undefined) {
-    rejectRequest(response, error ?? createUnauthorizedError());
+    sendRefusal(request, response, error ?? createUnauthorizedError());
     return;
   }
   if (handler === undefined) {
-    rejectRequest(response, createNotFoundError(request));
+    sendRefusal(request, response, createNotFoundError(request));
     return;
   }
   state.openRequests += 1;
@@ -118,12 +118,6 @@
     : undefined;
 }
 
-/** Closes the connection as well, because the body may be unread. */
-function rejectRequest(response: http.ServerResponse, error: HttpError): void {
-  response.setHeader('Connection', 'close');
-  sendHttpError(response, error);
-}
-
 function createUnauthorizedError(): HttpError {
   return createRequestError(
     401,
--- a/packages/daemon/src/gateway/http_errors.ts
+++ b/packages/daemon/src/gateway/http_errors.ts
@@ -116,6 +116,20 @@
     response.destroy();
     return;
   }
+  setErrorHeaders(response, error);
+  response.end(formatErrorBody(error));
+}
+
+/**
+ * Sets the status and the headers of an error response.
+ *
+ * @param response - HTTP response whose headers have not been sent
+ * @param error - Content of the response
+ */
+export function setErrorHeaders(
+  response: http.ServerResponse,
+  error: HttpError,
+): void {
   const retryAfter = error.retryAfterMilliseconds ?? 0;
   if (retryAfter > 0) {
     const seconds = Math.ceil(retryAfter / MILLISECONDS_PER_SECOND);
@@ -124,5 +138,4 @@
   response.setHeader('Briarpin-Outcome', error.outcome);
   response.setHeader('Content-Type', 'application/json');
   response.statusCode = error.status;
-  response.end(formatErrorBody(error));
 }
