Answer a request whose head has come in part at a stopping gateway

Seen by callers: a head that has come in part at SIGTERM, with nothing else open, is cut without an answer, also when its rest comes 0.2 s later.

Cause: the drain waits for requests that the server has reported, and Node.js reports none before its head is whole. Ruled out: closeIdleConnections closes it (it counts such a connection as active); the cut was closeAllConnections at the end. Change: the gateway knows how many bytes of each connection belong to requests that were reported. While it drains it waits 1 s for the rest of a head, which then is refused as any other request, and answers the others 503 not_run with Retry-After.

--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -27,6 +27,7 @@
   type RequestListenerOptions,
 } from './handle_request.js';
 import {OpenResponses} from './open_responses.js';
+import {PartialHeads} from './partial_heads.js';
 import {PrefixHints} from './prefix_hints.js';
 
 const DEFAULT_MAXIMUM_BODY_BYTES = 1_048_576;
@@ -36,6 +37,8 @@
 const MAXIMUM_HEADER_BYTES = 16_384;
 const BROADCAST_INTERVAL_MILLISECONDS = 4_000;
 const DRAIN_POLL_MILLISECONDS = 20;
+/** Time for which a draining gateway waits for the rest of a request's head. */
+const PARTIAL_HEAD_WAIT_MILLISECONDS = 1_000;
 
 /**
  * Starts a gateway.
@@ -71,6 +74,7 @@
     state,
     status,
   );
+  const partialHeads = new PartialHeads(callerServer);
   const internalServer = createGrpcServer();
   addConfigurationPeerService(internalServer, context.replica);
   const role: RunningRole = {
@@ -91,9 +95,18 @@
     drainAndClose: async () => {
       callerServer.close();
       const {gracePeriod} = context;
-      while (state.responses.size > 0 && !gracePeriod.mustClose) {
+      const headsDueAt = context.clock.now() + PARTIAL_HEAD_WAIT_MILLISECONDS;
+      const areHeadsDue = () =>
+        context.clock.now() >= headsDueAt || gracePeriod.areAnswersDue;
+      while (
+        (state.responses.size > 0 || partialHeads.size > 0) &&
+        !gracePeriod.mustClose
+      ) {
         callerServer.closeIdleConnections();
         await context.clock.sleep(DRAIN_POLL_MILLISECONDS);
+        if (areHeadsDue()) {
+          partialHeads.refuseAll();
+        }
       }
       if (state.responses.size > 0) {
         const {size} = state.responses;
--- a/packages/daemon/src/gateway/http_errors.ts
+++ b/packages/daemon/src/gateway/http_errors.ts
@@ -100,6 +100,12 @@
   return JSON.stringify({error: {type, message, outcome, remedy}});
 }
 
+/** Formats the time after which a request may be sent again, in seconds. */
+export function formatRetryAfter(error: HttpError): string {
+  const milliseconds = error.retryAfterMilliseconds ?? 0;
+  return String(Math.ceil(milliseconds / MILLISECONDS_PER_SECOND));
+}
+
 /**
  * Sends an error response.
  *
@@ -130,10 +136,8 @@
   response: http.ServerResponse,
   error: HttpError,
 ): void {
-  const retryAfter = error.retryAfterMilliseconds ?? 0;
-  if (retryAfter > 0) {
-    const seconds = Math.ceil(retryAfter / MILLISECONDS_PER_SECOND);
-    response.setHeader('Retry-After', seconds);
+  if ((error.retryAfterMilliseconds ?? 0) > 0) {
+    response.setHeader('Retry-After', formatRetryAfter(error));
   }
   response.setHeader('Briarpin-Outcome', error.outcome);
   response.setHeader('Content-Type', 'application/json');
