--- a/packages/daemon/src/gateway/gateway.ts
+++ b/packages/daemon/src/gateway/gateway.ts
@@ -14,11 +14,20 @@
 import {addConfigurationPeerService} from '../shared/configuration_peer.js';
 import type {ProcessContext} from '../shared/process_context.js';
 import type {RunningRole} from '../shared/running_role.js';
-import {bindGrpcServer, createGrpcServer} from '../shared/serve_grpc.js';
+import {
+  bindGrpcServer,
+  closeGrpcServer,
+  createGrpcServer,
+} from '../shared/serve_grpc.js';
 import {AccessDirectory} from './access_directory.js';
 import {EndpointDirectory} from './endpoint_directory.js';
 import type {GatewayDependencies} from './gateway_dependencies.js';
-import {createRequestListener} from './handle_request.js';
+import {
+  createRequestListener,
+  type RequestListenerOptions,
+} from './handle_request.js';
+import {OpenResponses} from './open_responses.js';
+import {PartialHeads} from './partial_heads.js';
 import {PrefixHints} from './prefix_hints.js';
 
 const DEFAULT_MAXIMUM_BODY_BYTES = 1_048_576;
@@ -28,6 +37,8 @@
 const MAXIMUM_HEADER_BYTES = 16_384;
 const BROADCAST_INTERVAL_MILLISECONDS = 4_000;
 const DRAIN_POLL_MILLISECONDS = 20;
+/** Time for which a draining gateway waits for the rest of a request's head. */
+const PARTIAL_HEAD_WAIT_MILLISECONDS = 1_000;
 
 /**
  * Starts a gateway.
@@ -43,7 +54,11 @@
 ): Promise<RunningRole> {
   const dependencies = createDependencies(settings, context);
   const {endpointDirectory, accessDirectory} = dependencies;
-  const state = {isDraining: false, openRequests: 0};
+  const state = {
+    isDraining: false,
+    openRequests: 0,
+    responses: new OpenResponses(),
+  };
   const status = (): StatusReply => ({
     instance: settings.instance,
     role: 'gateway',
@@ -59,6 +74,7 @@
     state,
     status,
   );
+  const partialHeads = new PartialHeads(callerServer);
   const internalServer = createGrpcServer();
   addConfigurationPeerService(internalServer, context.replica);
   const role: RunningRole = {
@@ -67,6 +83,7 @@
     startDraining: reason => {
       if (!state.isDraining) {
         state.isDraining = true;
+        state.responses.announceClose();
         context.logger.info('leaving', {reason});
       }
     },
@@ -77,15 +94,27 @@
     onMembership: () => endpointDirectory.refresh(),
     drainAndClose: async () => {
       callerServer.close();
-      while (state.openRequests > 0) {
+      const {gracePeriod} = context;
+      const headsDueAt = context.clock.now() + PARTIAL_HEAD_WAIT_MILLISECONDS;
+      const areHeadsDue = () =>
+        context.clock.now() >= headsDueAt || gracePeriod.areAnswersDue;
+      while (
+        (state.responses.size > 0 || partialHeads.size > 0) &&
+        !gracePeriod.mustClose
+      ) {
         callerServer.closeIdleConnections();
         await context.clock.sleep(DRAIN_POLL_MILLISECONDS);
+        if (areHeadsDue()) {
+          partialHeads.refuseAll();
+        }
+      }
+      if (state.responses.size > 0) {
+        const {size} = state.responses;
+        context.logger.warn('requests_cut', {open: size});
       }
       callerServer.closeAllConnections();
       endpointDirectory.close();
-      await new Promise<void>(resolve =>
-        internalServer.tryShutdown(() => resolve()),
-      );
+      await closeGrpcServer(internalServer, gracePeriod, context.clock);
     },
     requestDrain: () => undefined,
   };
@@ -133,7 +162,7 @@
 function createCallerServer(
   settings: GatewaySettings,
   dependencies: GatewayDependencies,
-  state: {isDraining: boolean; openRequests: number},
+  state: RequestListenerOptions['state'],
   status: () => StatusReply,
 ): http.Server {
   const timeout =
--- a/packages/daemon/src/gateway/generation_session.ts
+++ b/packages/daemon/src/gateway/generation_session.ts
@@ -109,6 +109,7 @@
   private endpoint: Endpoint | undefined;
   private lastProgressTime = 0;
   private hasDeadlinePassed = false;
+  private isStopping = false;
   private droppedEvents = 0;
   private attempts = 0;
 
@@ -177,6 +178,15 @@
     this.call?.cancel();
   }
 
+  /**
+   * Ends the session because the process ends; its last event is `failed`.
+   */
+  stop(): void {
+    this.isStopping = true;
+    this.abortController.abort();
+    this.call?.cancel();
+  }
+
   /** Sends the result of a run; sends a failure when the run throws. */
   private async deliverResult(run: () => Promise<SessionEvent>): Promise<void> {
     void this.runWatchdog();
@@ -345,6 +355,10 @@
     if (outcome !== Outcome.NOT_RUN) {
       return {kind: 'broken'};
     }
+    if (this.isStopping) {
+      const failure = createFailure(FailureKind.LEAVING);
+      return {kind: 'failed', failure};
+    }
     const kind = this.hasDeadlinePassed
       ? FailureKind.DEADLINE_PASSED
       : FailureKind.REVOKED;
--- a/packages/daemon/src/gateway/handle_request.ts
+++ b/packages/daemon/src/gateway/handle_request.ts
@@ -9,15 +9,23 @@
 import type {GatewayDependencies} from './gateway_dependencies.js';
 import {handleCompletion} from './handle_completion.js';
 import {handleServiceCall} from './handle_service_call.js';
+import type {OpenResponses} from './open_responses.js';
 import {
+  createLeavingError,
   createRequestError,
-  sendHttpError,
+  RESEND_REMEDY,
+  RETRY_AFTER_MILLISECONDS,
   type HttpError,
 } from './http_errors.js';
+import {sendRefusal} from './send_refusal.js';
 
 /** Options of {@link createRequestListener}. */
 export interface RequestListenerOptions {
-  readonly state: {readonly isDraining: boolean; openRequests: number};
+  readonly state: {
+    readonly isDraining: boolean;
+    openRequests: number;
+    readonly responses: OpenResponses;
+  };
   readonly status: () => StatusReply;
   /** Number of open requests at which further requests are rejected. */
   readonly maximumOpenRequests: number;
@@ -45,6 +53,7 @@
   return (request, response) => {
     request.on('error', () => undefined);
     response.on('error', () => undefined);
+    options.state.responses.add(response);
     if (!handleProbe(request, response, dependencies, options)) {
       runTask('request', dependencies.context.logger, () =>
         serveRequest(request, response, dependencies, options),
@@ -68,18 +77,15 @@
     findAdmissionError(dependencies, options) ??
     (organisation === undefined ? createUnauthorizedError() : undefined);
   if (error !== undefined || organisation === undefined) {
-    rejectRequest(response, error ?? createUnauthorizedError());
+    sendRefusal(request, response, error ?? createUnauthorizedError());
     return;
   }
   if (handler === undefined) {
-    rejectRequest(response, createNotFoundError(request));
+    sendRefusal(request, response, createNotFoundError(request));
     return;
   }
   state.openRequests += 1;
   response.once('close', () => (state.openRequests -= 1));
-  if (state.isDraining) {
-    response.setHeader('Connection', 'close');
-  }
   await handler(request, response, organisation, dependencies);
 }
 
@@ -97,13 +103,12 @@
   dependencies: GatewayDependencies,
   options: RequestListenerOptions,
 ): HttpError | undefined {
-  const remedy = 'send the request again, to another gateway if there is one';
   const createRefusal = (type: string, message: string): HttpError => ({
-    ...createRequestError(503, type, message, remedy),
-    retryAfterMilliseconds: 1_000,
+    ...createRequestError(503, type, message, RESEND_REMEDY),
+    retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
   });
   if (options.state.isDraining) {
-    return createRefusal('leaving', 'the gateway is leaving');
+    return createLeavingError();
   }
   if (!dependencies.context.replica.isReady) {
     return createRefusal('not_ready', 'the gateway has no configuration yet');
@@ -113,12 +118,6 @@
     : undefined;
 }
 
-/** Closes the connection as well, because the body may be unread. */
-function rejectRequest(response: http.ServerResponse, error: HttpError): void {
-  response.setHeader('Connection', 'close');
-  sendHttpError(response, error);
-}
-
 function createUnauthorizedError(): HttpError {
   return createRequestError(
     401,
--- a/packages/daemon/src/gateway/http_errors.ts
+++ b/packages/daemon/src/gateway/http_errors.ts
@@ -29,6 +29,11 @@
 };
 const DEFAULT_STATUS = 503;
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Time after which a refused request may be sent again. */
+export const RETRY_AFTER_MILLISECONDS = 1_000;
+/** Remedy for a request that another gateway may take. */
+export const RESEND_REMEDY =
+  'send the request again, to another gateway if there is one';
 
 /** Converts an outcome to its name; an unspecified outcome is `unknown`. */
 export function toOutcomeName(outcome: Outcome): OutcomeName {
@@ -72,12 +77,35 @@
   return {status, type, message, remedy, outcome: 'not_run'};
 }
 
+/**
+ * Creates the error response for a request that a leaving gateway has not run.
+ *
+ * @returns A 503 response of the type `leaving`, with the time to come back
+ */
+export function createLeavingError(): HttpError {
+  return {
+    ...createRequestError(
+      503,
+      'leaving',
+      'the gateway is leaving',
+      RESEND_REMEDY,
+    ),
+    retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
+  };
+}
+
 /** Formats the JSON body of an error response. */
 export function formatErrorBody(error: HttpError): string {
   const {type, message, outcome, remedy} = error;
   return JSON.stringify({error: {type, message, outcome, remedy}});
 }
 
+/** Formats the time after which a request may be sent again, in seconds. */
+export function formatRetryAfter(error: HttpError): string {
+  const milliseconds = error.retryAfterMilliseconds ?? 0;
+  return String(Math.ceil(milliseconds / MILLISECONDS_PER_SECOND));
+}
+
 /**
  * Sends an error response.
  *
@@ -94,13 +122,24 @@
     response.destroy();
     return;
   }
-  const retryAfter = error.retryAfterMilliseconds ?? 0;
-  if (retryAfter > 0) {
-    const seconds = Math.ceil(retryAfter / MILLISECONDS_PER_SECOND);
-    response.setHeader('Retry-After', seconds);
+  setErrorHeaders(response, error);
+  response.end(formatErrorBody(error));
+}
+
+/**
+ * Sets the status and the headers of an error response.
+ *
+ * @param response - HTTP response whose headers have not been sent
+ * @param error - Content of the response
+ */
+export function setErrorHeaders(
+  response: http.ServerResponse,
+  error: HttpError,
+): void {
+  if ((error.retryAfterMilliseconds ?? 0) > 0) {
+    response.setHeader('Retry-After', formatRetryAfter(error));
   }
   response.setHeader('Briarpin-Outcome', error.outcome);
   response.setHeader('Content-Type', 'application/json');
   response.statusCode = error.status;
-  response.end(formatErrorBody(error));
 }
