Take no request at a stopping gateway once the answers are due

What callers could see: a call that is read after the gateway has answered all open requests runs, and is cut without an answer at the end. Cause: the time of the answers was computed anew from a lateness that decays, and so moved back. Change: once it has passed, it stays passed.

--- a/packages/forwarding/src/shutdown/shutdown.ts
+++ b/packages/forwarding/src/shutdown/shutdown.ts
@@ -18,6 +18,8 @@
   private startedAt: number | undefined;
   private graceMilliseconds = Number.POSITIVE_INFINITY;
   private latenessMilliseconds = 0;
+  /** True once the time of the answers has passed; the schedule may move back. */
+  private isAnswerTimeOver = false;
 
   /**
    * @param clock - Monotonic clock
@@ -53,7 +55,11 @@
 
   /** Time until every request has its answer; infinite while none is planned. */
   get remainingAnswerMilliseconds(): number {
-    return this.computeRemaining(schedule => schedule.answerMilliseconds);
+    const remaining = this.computeRemaining(
+      schedule => schedule.answerMilliseconds,
+    );
+    this.isAnswerTimeOver ||= remaining <= 0;
+    return this.isAnswerTimeOver ? Math.min(0, remaining) : remaining;
   }
 
   /** Time until the process ends; infinite while none is planned. */
