Say "not run" of a stream only if no attempt may have run

Cause: the failure of the last attempt stood for all of them. Now a session keeps whether one may have run, as calls do; such a request is answered 502. Not weighed: a resumable stream loses the Retry-After of its 503.

--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -77,6 +77,8 @@
   /** Endpoint that has been sent the request and has not responded yet. */
   private openingEndpoint: EndpointEntry | undefined;
   private sendCount = 0;
+  /** True when an attempt so far may have run. */
+  private mayHaveRun = false;
   private moveCount = 0;
   private readonly writer: StreamWriter;
   private readonly mover: RunMover;
@@ -401,6 +403,7 @@
       countedWork.release();
       context.loads.recordOutcome(endpoint.id, true);
       const failure = await readFailure(result);
+      this.mayHaveRun ||= failure.kind !== 'failed' || failure.mayHaveRun;
       const reason =
         failure.kind === 'failed' ? failure.reason : 'the engine failed';
       logFailedAttempt(exchange, context, endpoint.id, reason);
@@ -411,6 +414,7 @@
       }
       return failure;
     }
+    this.mayHaveRun = true;
     this.writer.recordResponse(result.response);
     const stream: EndpointStream = new EndpointStream({
       endpoint,
@@ -455,7 +459,7 @@
     }
     return failExchange(exchange, context, {
       reason,
-      mayHaveRun,
+      mayHaveRun: mayHaveRun || this.mayHaveRun,
       retryAfterMilliseconds: computeRetryAfterMilliseconds(
         exchange,
         context,
