Let the HTTP server tell which connections of a stopping gateway are idle

Cause: bytes that were read were taken for a request that has begun, and bytes read before the last answer for its own; only the parser knows. Class: a guess about another component's state. Change: connections that have carried no byte are closed here; the others by the HTTP server's own count of idle ones, as soon as no response has unsent bytes (it would cut these). What is then left without a request has arrived in part: it is waited for, and answered at the end. A request is checked against the time left once more when its body has come.

--- a/packages/forwarding/src/caller_connections/caller_connections.ts
+++ b/packages/forwarding/src/caller_connections/caller_connections.ts
@@ -12,8 +12,6 @@
   requestCount: number;
   /** Newest request, until its response has been sent. */
   newest?: ConnectionPosition;
-  /** Bytes that were read when the newest response had been sent. */
-  answeredBytes: number;
 }
 
 /** A request's place on its connection. */
@@ -68,59 +66,54 @@
     response.once('close', () => {
       if (state.newest === position) {
         state.newest = undefined;
-        state.answeredBytes = socket.bytesRead;
       }
     });
     return position;
   }
 
+  /** Returns whether a response has bytes that are not sent yet. */
+  get hasUnsentBytes(): boolean {
+    return [...this.states.keys()].some(socket => socket.writableLength > 0);
+  }
+
   /**
-   * Returns whether a request may still arrive on a connection: one has arrived
-   * in part, or a connection is so new that its first one is on its way.
+   * Returns whether a connection is so new that its first request may be on its
+   * way.
    *
    * @param newMilliseconds - Age up to which a connection is new
    */
-  expectsRequests(newMilliseconds: number): boolean {
+  hasNew(newMilliseconds: number): boolean {
     const openedBefore = this.clock.now() - newMilliseconds;
-    return [...this.states].some(([socket, state]) => {
-      const isNew = state.requestCount === 0 && state.openedAt > openedBefore;
-      return isNew || !isIdle(socket, state);
-    });
+    return [...this.states.values()].some(
+      ({requestCount, openedAt}) =>
+        requestCount === 0 && openedAt > openedBefore,
+    );
   }
 
-  /** Closes the connections on which no request has begun to arrive. */
-  closeIdle(): void {
-    for (const [socket, state] of this.states) {
-      if (isIdle(socket, state)) {
+  /** Closes the connections that have carried no byte of a request. */
+  closeUnused(): void {
+    for (const socket of this.states.keys()) {
+      if (socket.bytesRead === 0) {
         socket.destroy();
       }
     }
   }
 
   /**
-   * Sends a response on each connection whose request has arrived in part, and
-   * closes it.
+   * Sends a response on each connection without a request, and closes it. Only
+   * requests that have arrived in part may be on them.
    *
    * @param bytes - Head and body of the response
    */
   answerPartialRequests(bytes: string): void {
-    for (const [socket, state] of this.states) {
-      const {newest, answeredBytes} = state;
-      if (newest === undefined && socket.bytesRead !== answeredBytes) {
+    for (const [socket, {newest}] of this.states) {
+      if (newest === undefined) {
         socket.end(bytes);
       }
     }
   }
 
   private createState(): ConnectionState {
-    return {openedAt: this.clock.now(), requestCount: 0, answeredBytes: 0};
+    return {openedAt: this.clock.now(), requestCount: 0};
   }
 }
-
-function isIdle(
-  {bytesRead, writableLength}: Socket,
-  {newest, answeredBytes}: ConnectionState,
-): boolean {
-  const isAnswered = newest === undefined && writableLength === 0;
-  return isAnswered && bytesRead === answeredBytes;
-}
--- a/packages/forwarding/src/caller_server/caller_server.ts
+++ b/packages/forwarding/src/caller_server/caller_server.ts
@@ -116,6 +116,11 @@
       () => shutdown.remainingAnswerMilliseconds,
       isUnused,
     );
+    this.closeIdleConnections();
+    await shutdown.waitUntil(
+      () => shutdown.remainingAnswerMilliseconds,
+      () => this.connections.count === 0,
+    );
     await this.answerOpenRequests();
   }
 
@@ -129,8 +134,9 @@
   /** Answers all requests that have no answer yet, and sends the answers. */
   private async answerOpenRequests(): Promise<void> {
     const {shutdown} = this.context;
-    this.connections.closeIdle();
-    this.connections.answerPartialRequests(this.formatPartialResponse());
+    if (this.closeIdleConnections()) {
+      this.connections.answerPartialRequests(this.formatPartialResponse());
+    }
     this.open.forEach(open => open.interrupt());
     await shutdown.waitUntil(
       () => shutdown.remainingMilliseconds,
@@ -146,11 +152,27 @@
     net.Server.prototype.close.call(this.server);
   }
 
+  /**
+   * Closes the connections on which no request has begun to arrive.
+   *
+   * @returns False if some may be left: the HTTP server, which alone knows what
+   *     has arrived in part, would also cut responses that are not sent yet
+   */
+  private closeIdleConnections(): boolean {
+    this.connections.closeUnused();
+    const isSent = !this.connections.hasUnsentBytes;
+    if (isSent) {
+      this.server.closeIdleConnections();
+    }
+    return isSent;
+  }
+
   /** Returns whether requests are open, or may still arrive. */
   private expectsRequests(): boolean {
     return (
       this.open.size > 0 ||
-      this.connections.expectsRequests(NEW_CONNECTION_MILLISECONDS)
+      this.connections.hasUnsentBytes ||
+      this.connections.hasNew(NEW_CONNECTION_MILLISECONDS)
     );
   }
 
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -164,7 +164,11 @@
     if (response.destroyed) {
       return;
     }
-    if (read.kind === 'interrupted' || controller.signal.aborted) {
+    if (
+      read.kind === 'interrupted' ||
+      controller.signal.aborted ||
+      !this.lastRequests.endsInTime(admission.route, metadata)
+    ) {
       this.rejectRequest(open, this.lastRequests.createResponse());
       return;
     }
