--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -276,7 +276,11 @@
     if (response.destroyed) {
       return;
     }
-    if (read.kind === 'interrupted' || controller.signal.aborted) {
+    if (
+      read.kind === 'interrupted' ||
+      controller.signal.aborted ||
+      !this.endsInTime(admission, metadata)
+    ) {
       this.rejectRequest(open, this.createStoppingResponse());
       return;
     }
