--- a/packages/daemon/src/sidecar/revoke.test.ts
+++ b/packages/daemon/src/sidecar/revoke.test.ts
@@ -15,15 +15,19 @@
 import {Outcome, ServiceCall} from '@briarpin/messages';
 
 import type {EngineClient} from '../engine/engine_client.js';
+import {GracePeriod} from '../shared/grace_period.js';
 import type {ProcessContext} from '../shared/process_context.js';
 import {ModelRunner} from './model_runner.js';
 import {ServiceRunner} from './service_runner.js';
 
 const RESUME_GRACE_MILLISECONDS = 10_000;
+const SHUTDOWN_GRACE_MILLISECONDS = 30_000;
 
 function createContext(clock: VirtualClock): ProcessContext {
   const replica = {table: new ConfigurationTable()};
-  return {instance: 'modelo-1', clock, replica} as unknown as ProcessContext;
+  const gracePeriod = new GracePeriod(clock, SHUTDOWN_GRACE_MILLISECONDS);
+  const instance = 'modelo-1';
+  return {instance, clock, replica, gracePeriod} as unknown as ProcessContext;
 }
 
 function createModelRunner(clock: VirtualClock): ModelRunner {
