Count the grace period from the signal although the process was paused

What callers saw: a process that was paused as SIGTERM came counted its grace period from its continuation, and SIGKILL cut 7 of 98 calls. Cause: the time of a signal is not known to the process; it took that of its handling. The time of a signal during the start counts, too, not the end of the start.

--- a/packages/daemon/src/machine/run_on_machine.ts
+++ b/packages/daemon/src/machine/run_on_machine.ts
@@ -3,7 +3,7 @@
  */
 import {readInstanceSettings} from '@briarpin/machines';
 
-import {openLogStream} from '@briarpin/telemetry';
+import {openLogStream, PauseDetector} from '@briarpin/telemetry';
 
 import {startMachineGateway, type RunningMachine} from './wire_machine.js';
 
@@ -42,20 +42,36 @@
 
 /** Installs handlers that act on signals once the gateway has started. */
 function handleSignals(starting: Promise<RunningMachine>): void {
+  const pauses = new PauseDetector(() => performance.now());
   const whenStarted = (act: (running: RunningMachine) => void) => {
     // The caller reports a start that fails.
     starting.then(act, () => undefined);
   };
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-    process.on(signal, () =>
-      whenStarted(running => {
-        void running.shutDown(signal).then(() => process.exit(0));
-      }),
-    );
+    process.on(signal, () => {
+      const askedAt = pauses.earliestEventAt;
+      whenStarted(running => void endProcess(running, signal, askedAt));
+    });
   }
   process.on('SIGHUP', () => whenStarted(reload));
 }
 
+/** Shuts a gateway down and ends the process. */
+async function endProcess(
+  running: RunningMachine,
+  reason: string,
+  askedAt: number,
+): Promise<void> {
+  try {
+    await running.shutDown(reason, askedAt);
+    process.exit(0);
+  } catch (error) {
+    const {message} = error as Error;
+    running.logger.error('shutdown_failed', {message});
+    process.exit(EXIT_FAILURE);
+  }
+}
+
 /** Reads the settings again; a failed read leaves the current ones in force. */
 function reload(running: RunningMachine): void {
   readInstanceSettings(process.env).match({
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -78,8 +78,12 @@
   /**
    * Drains open requests within the grace period, then stops. All calls return
    * the promise of the first one.
+   *
+   * @param reason - What asks for it
+   * @param askedAt - Start of the grace period on the monotonic clock; now by
+   *     default
    */
-  readonly shutDown: (reason: string) => Promise<void>;
+  readonly shutDown: (reason: string, askedAt?: number) => Promise<void>;
   /** Stops immediately and closes all connections. */
   readonly stop: () => Promise<void>;
 }
@@ -184,10 +188,17 @@
       const isSame = JSON.stringify(changed) === JSON.stringify(settings);
       logger.info('settings_reloaded', {changed: !isSame});
     },
-    shutDown: reason => {
+    shutDown: (reason, askedAt = components.clock.now()) => {
       shutDown ??= (async () => {
-        components.shutdown.begin(settings.bounds.stopGraceMilliseconds);
-        logger.info('leaving', {reason, open: gateway.openRequests});
+        components.shutdown.begin({
+          graceMilliseconds: settings.bounds.stopGraceMilliseconds,
+          askedAt,
+        });
+        logger.info('leaving', {
+          reason,
+          open: gateway.openRequests,
+          asked_ago: Math.round(components.clock.now() - askedAt),
+        });
         mesh.broadcast();
         await gateway.drain();
         logger.info('ended', {open: gateway.openRequests});
--- a/packages/forwarding/src/create_exchange/create_exchange.ts
+++ b/packages/forwarding/src/create_exchange/create_exchange.ts
@@ -40,7 +40,7 @@
   );
   const expiresAt = received.arrivedAt + allowedMilliseconds;
   const timer = setTimeout(
-    () => controller.abort(),
+    () => controller.abort(new Error('the time of the request is over')),
     Math.max(0, expiresAt - clock.now()),
   );
   received.response.once('close', () => clearTimeout(timer));
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -113,7 +113,7 @@
     return new Promise(resolve => {
       const progress = {isConnected: false};
       const fail = (error: Error) => {
-        const reason = error.message;
+        const reason = describeFailure(error, attempt.signal);
         resolve(
           progress.isConnected
             ? {kind: 'unknown', reason}
@@ -227,6 +227,11 @@
   }
 }
 
+/** Returns why an attempt failed; an aborted one has the reason of its end. */
+function describeFailure(error: Error, {aborted, reason}: AbortSignal): string {
+  return aborted && reason instanceof Error ? reason.message : error.message;
+}
+
 /**
  * Records when a connection is established, and enforces its timeout. Nothing is
  * sent on it if the endpoint has asked for a pause meanwhile.
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -81,7 +81,7 @@
   readonly arrivedAt: number;
   /** The earlier of the caller's deadline and the route's timeout. */
   readonly expiresAt: number;
-  /** Aborted when the caller disconnects or the exchange expires. */
+  /** Aborted when the caller disconnects, or the exchange or gateway ends. */
   readonly signal: AbortSignal;
   /** Endpoints that have been attempted, in order. */
   readonly triedEndpointIds: string[];
--- a/packages/forwarding/src/last_requests/last_requests.ts
+++ b/packages/forwarding/src/last_requests/last_requests.ts
@@ -39,6 +39,8 @@
       decideLastRequest({
         expectedMilliseconds: durations.estimate({route, metadata}),
         remainingMilliseconds: shutdown.remainingAnswerMilliseconds,
+        isLateStream:
+          route.isStream && shutdown.remainingDeregistrationMilliseconds <= 0,
       })
     );
   }
--- a/packages/forwarding/src/open_request/open_request.ts
+++ b/packages/forwarding/src/open_request/open_request.ts
@@ -38,13 +38,15 @@
     this.metadata = options.metadata;
     this.arrivedAt = options.arrivedAt;
     this.connectionPosition = options.connectionPosition;
-    this.response.once('close', () => this.controller.abort());
+    this.response.once('close', () =>
+      this.controller.abort(new Error('the caller left')),
+    );
   }
 
-  /** Has the request answered now, unless its response has begun. */
+  /** Ends the wait for a response, so that the gateway answers the request. */
   interrupt(): void {
     if (!this.response.headersSent) {
-      this.controller.abort();
+      this.controller.abort(new Error('the gateway stops'));
     }
   }
 
--- a/packages/forwarding/src/shutdown/shutdown.ts
+++ b/packages/forwarding/src/shutdown/shutdown.ts
@@ -13,6 +13,14 @@
 /** Part of an observed lateness that still counts after the next pause. */
 const LATENESS_DECAY = 0.95;
 
+/** A request to stop. */
+export interface ShutdownRequest {
+  /** Time until the process is ended by force. */
+  readonly graceMilliseconds: number;
+  /** Time from which the grace period counts, on the clock. */
+  readonly askedAt: number;
+}
+
 /** Tells the parts of a gateway whether it shuts down, and when it ends. */
 export class Shutdown {
   private startedAt: number | undefined;
@@ -67,13 +75,9 @@
     return this.computeRemaining(schedule => schedule.closeMilliseconds);
   }
 
-  /**
-   * Records that the gateway was asked to stop.
-   *
-   * @param graceMilliseconds - Time until the process is ended by force
-   */
-  begin(graceMilliseconds: number): void {
-    this.startedAt = this.clock.now();
+  /** Records that the gateway was asked to stop. */
+  begin({graceMilliseconds, askedAt}: ShutdownRequest): void {
+    this.startedAt = askedAt;
     this.graceMilliseconds = graceMilliseconds;
   }
 
--- a/packages/scheduling/src/compute_shutdown_schedule/compute_shutdown_schedule.ts
+++ b/packages/scheduling/src/compute_shutdown_schedule/compute_shutdown_schedule.ts
@@ -26,15 +26,13 @@
 /** Time before the end of the grace period at which the process ends. */
 const CLOSE_RESERVE_MILLISECONDS = 150;
 
+/** Time in which a process ends whose timer was late. */
+const END_MILLISECONDS = 50;
+
 /** Largest parts of the grace period that these reserves take. */
 const MAXIMUM_ANSWER_SHARE = 0.15;
 const MAXIMUM_CLOSE_SHARE = 0.1;
-
-/**
- * Number of times that the lateness of timers counts: for the delivery of the
- * signal, and for the timer of the step itself.
- */
-const LATE_STEPS = 2;
+const MAXIMUM_END_SHARE = 0.05;
 
 /** Largest part of the grace period that the lateness of timers takes. */
 const MAXIMUM_LATENESS_SHARE = 0.15;
@@ -51,7 +49,7 @@
 export interface ShutdownSchedule {
   /** The platform sends no new connections if another instance takes them. */
   readonly deregisteredMilliseconds: number;
-  /** New connections are refused and idle ones are closed. */
+  /** New connections are refused. */
   readonly stopListeningMilliseconds: number;
   /** Requests that have no answer are answered with a failure. */
   readonly answerMilliseconds: number;
@@ -76,7 +74,7 @@
   latenessMilliseconds,
 }: ShutdownConditions): ShutdownSchedule {
   const lateness = Math.min(
-    LATE_STEPS * latenessMilliseconds,
+    latenessMilliseconds,
     graceMilliseconds * MAXIMUM_LATENESS_SHARE,
   );
   const answerReserve = Math.min(
@@ -87,11 +85,16 @@
     CLOSE_RESERVE_MILLISECONDS,
     graceMilliseconds * MAXIMUM_CLOSE_SHARE,
   );
+  const endDuration = Math.min(
+    END_MILLISECONDS,
+    graceMilliseconds * MAXIMUM_END_SHARE,
+  );
   const listeningReserve = Math.min(
     LISTENING_RESERVE_MILLISECONDS,
     graceMilliseconds * MAXIMUM_LISTENING_SHARE,
   );
-  const answerMilliseconds = graceMilliseconds - answerReserve - lateness;
+  // The timer is late, and the answers of a slow process take longer.
+  const answerMilliseconds = graceMilliseconds - answerReserve - 2 * lateness;
   return {
     deregisteredMilliseconds: Math.min(
       DEREGISTRATION_MILLISECONDS,
@@ -99,6 +102,7 @@
     ),
     stopListeningMilliseconds: answerMilliseconds - listeningReserve,
     answerMilliseconds,
-    closeMilliseconds: graceMilliseconds - closeReserve - lateness,
+    closeMilliseconds:
+      graceMilliseconds - Math.max(closeReserve, lateness + endDuration),
   };
 }
--- a/packages/scheduling/src/decide_last_request/decide_last_request.ts
+++ b/packages/scheduling/src/decide_last_request/decide_last_request.ts
@@ -8,12 +8,23 @@
  */
 const MARGIN_MILLISECONDS = 30;
 
+/**
+ * Factor of the expected time of a stream that comes when callers should have
+ * gone elsewhere: once it has begun, no failure can take its place.
+ */
+const LATE_STREAM_FACTOR = 3;
+
 /** A request at an instance that shuts down. */
 export interface LastRequest {
   /** Time within which nearly all requests of its kind end. */
   readonly expectedMilliseconds: number;
   /** Time until every request must be answered. */
   readonly remainingMilliseconds: number;
+  /**
+   * True for a stream that comes after the platform should have deregistered
+   * the instance.
+   */
+  readonly isLateStream: boolean;
 }
 
 /**
@@ -24,12 +35,15 @@
  * @returns True when the request is served
  *
  * @example
- * decideLastRequest({expectedMilliseconds: 900, remainingMilliseconds: 800});
- * //=> false
+ * decideLastRequest({expectedMilliseconds: 900, remainingMilliseconds: 800,
+ *   isLateStream: false}); //=> false
  */
 export function decideLastRequest({
   expectedMilliseconds,
   remainingMilliseconds,
+  isLateStream,
 }: LastRequest): boolean {
-  return expectedMilliseconds + MARGIN_MILLISECONDS <= remainingMilliseconds;
+  const factor = isLateStream ? LATE_STREAM_FACTOR : 1;
+  const neededMilliseconds = factor * expectedMilliseconds;
+  return neededMilliseconds + MARGIN_MILLISECONDS <= remainingMilliseconds;
 }
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -9,4 +9,5 @@
 export * from './limit_events/limit_events.js';
 export * from './open_log_stream/open_log_stream.js';
 export * from './parse_log_line/parse_log_line.js';
+export * from './pause_detector/pause_detector.js';
 export * from './run_task/run_task.js';
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -252,7 +252,7 @@
     promise: 'a stopping gateway rejects what would not end',
     mechanism: 'the expected duration is compared with the time left',
     file: 'packages/scheduling/dist/decide_last_request/decide_last_request.js',
-    from: 'expectedMilliseconds + MARGIN_MILLISECONDS <= remainingMilliseconds',
+    from: 'neededMilliseconds + MARGIN_MILLISECONDS <= remainingMilliseconds',
     to: 'true',
     test: 'machine/streams',
   },
