--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -21,6 +21,8 @@
   ForwardingGateway,
   EvacuationTurn,
   GatewayMesh,
+  GatewayReturns,
+  RequestDurations,
   RetryBudgets,
   Shutdown,
   StreamOrigins,
@@ -40,7 +42,6 @@
 import {computeRoundTripMilliseconds} from './compute_round_trip_milliseconds.js';
 import {createTelemetry, type Telemetry} from './create_telemetry.js';
 import {createReport, applyReport} from './exchange_reports.js';
-import {drainGateway} from './drain_gateway.js';
 import {encodeGateway, followStore, GATEWAYS_TOPIC} from './follow_store.js';
 import type {MachineState} from './machine_state.js';
 import {ExpiringList} from './expiring_list.js';
@@ -90,8 +91,8 @@
    */
   readonly reload: (settings: InstanceSettings) => void;
   /**
-   * Drains open requests within the grace period, then stops. Further calls
-   * return immediately.
+   * Drains open requests within the grace period, then stops. All calls return
+   * the promise of the first one.
    */
   readonly shutDown: (reason: string) => Promise<void>;
   /** Stops immediately and closes all connections. */
@@ -170,6 +171,7 @@
       mesh.broadcast();
     },
     originTransport: () => mesh,
+    reachableGateways: () => mesh.reachableGateways,
   });
   const gateway = createGateway(settings, components, state);
   const mesh = createMesh(settings, components, gateway, state);
@@ -185,11 +187,11 @@
   startFollowingStore(settings, components, {state, gateway, mesh, meshPort});
   const stop = async () => {
     state.abortController.abort();
-    gateway.stopListening();
     gateway.close();
     servers.close();
     await meshRun;
   };
+  let shutDown: Promise<void> | undefined;
   return {
     logger,
     ports: {callers, ...servers.ports},
@@ -197,15 +199,16 @@
       const isSame = JSON.stringify(changed) === JSON.stringify(settings);
       logger.info('settings_reloaded', {changed: !isSame});
     },
-    shutDown: async reason => {
-      if (components.shutdown.hasBegun) {
-        return;
-      }
-      components.shutdown.begin();
-      logger.info('leaving', {reason, open: gateway.openRequests});
-      await drainGateway(settings, components, gateway);
-      logger.info('ended', {open: gateway.openRequests});
-      await stop();
+    shutDown: reason => {
+      shutDown ??= (async () => {
+        components.shutdown.begin(settings.bounds.stopGraceMilliseconds);
+        logger.info('leaving', {reason, open: gateway.openRequests});
+        mesh.broadcast();
+        await gateway.drain();
+        logger.info('ended', {open: gateway.openRequests});
+        await stop();
+      })();
+      return shutDown;
     },
     stop,
   };
@@ -283,6 +286,7 @@
   readonly onWorkStarted: () => void;
   readonly onSuspicion: (record: SuspicionRecord) => void;
   readonly originTransport: () => OriginTransport;
+  readonly reachableGateways: () => readonly string[];
 }
 
 function createForwardingContext(
@@ -295,6 +299,7 @@
     onWorkStarted,
     onSuspicion,
     originTransport,
+    reachableGateways,
   }: ForwardingCallbacks,
 ): ForwardingContext {
   const clock = MONOTONIC_CLOCK;
@@ -356,6 +361,8 @@
     metrics,
     onWorkStarted,
     shutdown: new Shutdown(clock),
+    durations: new RequestDurations(),
+    gatewayReturns: new GatewayReturns({clock, reachableGateways}),
   };
 }
 
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -24,7 +24,9 @@
 import type {EndpointClient} from '../endpoint_client/endpoint_client.js';
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
+import type {GatewayReturns} from '../gateway_returns/gateway_returns.js';
 import {listSharedParts} from '../list_shared_parts/list_shared_parts.js';
+import type {RequestDurations} from '../request_durations/request_durations.js';
 import type {RetryBudgets} from '../retry_budgets/retry_budgets.js';
 import type {Shutdown} from '../shutdown/shutdown.js';
 import type {StreamOrigins} from '../stream_origins/stream_origins.js';
@@ -44,6 +46,8 @@
   /** Retry budgets by service. */
   readonly retryBudgets: RetryBudgets;
   readonly quarantine: CrashQuarantine;
+  /** How long requests have taken. */
+  readonly durations: RequestDurations;
   /** Software versions at which the streams of all gateways began. */
   readonly streamOrigins: StreamOrigins;
   /** Region of an availability zone; undefined if it is not known. */
@@ -56,6 +60,8 @@
   /** Called when work starts that other gateways must count for placement. */
   readonly onWorkStarted: () => void;
   readonly shutdown: Shutdown;
+  /** When the other gateways are expected to return that stop. */
+  readonly gatewayReturns: GatewayReturns;
 }
 
 /** One admitted request. */
@@ -95,12 +101,21 @@
   readonly firstByteMilliseconds?: number;
 }
 
-/** Returns the milliseconds until an exchange expires; 0 once it has. */
+/**
+ * Returns the milliseconds until an exchange must be answered: until it expires
+ * or the gateway ends; 0 once they have passed.
+ */
 export function computeRemainingMilliseconds(
   exchange: Exchange,
-  clock: Clock,
+  {clock, shutdown}: Pick<ForwardingContext, 'clock' | 'shutdown'>,
 ): number {
-  return Math.max(0, exchange.expiresAt - clock.now());
+  return Math.max(
+    0,
+    Math.min(
+      exchange.expiresAt - clock.now(),
+      shutdown.remainingAnswerMilliseconds,
+    ),
+  );
 }
 
 /**
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -6,6 +6,7 @@
 
 import type {CallerLimits} from '@briarpin/coordination';
 import type {EndpointWork} from '@briarpin/messages';
+import {decideLastRequest} from '@briarpin/scheduling';
 import {runTask} from '@briarpin/telemetry';
 
 import {
@@ -14,10 +15,7 @@
   type AdmissionBounds,
   type ConfigurationSnapshot,
 } from '../admit_request/admit_request.js';
-import {
-  CallerConnections,
-  type ConnectionPosition,
-} from '../caller_connections/caller_connections.js';
+import {CallerConnections} from '../caller_connections/caller_connections.js';
 import {createExchange} from '../create_exchange/create_exchange.js';
 import {describeConnection} from '../describe_connection/describe_connection.js';
 import {Evacuator} from '../evacuator/evacuator.js';
@@ -34,6 +32,7 @@
   getHttpStatus,
   type ErrorResponse,
 } from '../error_response/error_response.js';
+import {OpenRequest} from '../open_request/open_request.js';
 import {readBody} from '../read_body/read_body.js';
 import {recordExchange} from '../record_exchange/record_exchange.js';
 import {resolveStreamOrigin} from '../resolve_stream_origin/resolve_stream_origin.js';
@@ -51,11 +50,14 @@
 /** Interval at which connections are checked for timeouts. */
 const CONNECTION_CHECK_MILLISECONDS = 1_000;
 
-/** Interval at which open requests are counted while the gateway drains. */
-const DRAIN_POLL_MILLISECONDS = 20;
+/**
+ * Age up to which a connection that has carried no request stays open when the
+ * gateway stops, as its first request may be on its way.
+ */
+const NEW_CONNECTION_MILLISECONDS = 1_000;
 
-/** `Retry-After` of a stream that a draining gateway rejects. */
-const DRAINING_RETRY_MILLISECONDS = 50;
+/** Time from the end of a process until its successor serves. */
+const RESTART_MILLISECONDS = 1_500;
 
 /** Options of {@link ForwardingGateway}. */
 export interface ForwardingGatewayOptions {
@@ -64,15 +66,6 @@
   readonly bounds: AdmissionBounds;
 }
 
-/** A request in progress. */
-interface OpenRequest {
-  readonly request: http.IncomingMessage;
-  readonly response: http.ServerResponse;
-  readonly metadata: RequestMetadata;
-  readonly arrivedAt: number;
-  readonly connectionPosition: ConnectionPosition;
-}
-
 /** Accepts requests of callers and forwards them to endpoints. */
 export class ForwardingGateway {
   private readonly server: http.Server;
@@ -143,28 +136,75 @@
     }));
   }
 
-  /** Accepts no more connections, and closes idle ones. */
-  stopListening(): void {
+  /**
+   * Computes when this gateway serves again that stops; a gateway with streams
+   * stops at the end of its time.
+   *
+   * @returns Milliseconds; undefined while it serves
+   */
+  computeReturnMilliseconds(): number | undefined {
+    const {shutdown} = this.context;
+    if (!shutdown.hasBegun) {
+      return undefined;
+    }
+    const endMilliseconds =
+      this.sessions.size > 0
+        ? shutdown.remainingMilliseconds
+        : shutdown.remainingDeregistrationMilliseconds;
+    return Math.max(0, endMilliseconds) + RESTART_MILLISECONDS;
+  }
+
+  /**
+   * Shuts down: serves callers until the platform has deregistered the instance,
+   * and then, as long as callers are still sent here, up to the time at which
+   * the requests that are left have to be answered.
+   *
+   * @returns Resolves when no connection is open or the time is over
+   */
+  async drain(): Promise<void> {
+    const {shutdown} = this.context;
+    await shutdown.waitUntil(
+      () => shutdown.remainingDeregistrationMilliseconds,
+    );
+    const isUnused = () => this.closeUnusedConnections();
+    await shutdown.waitUntil(
+      () => shutdown.remainingListeningMilliseconds,
+      isUnused,
+    );
     this.server.close();
-    this.server.closeIdleConnections();
+    await shutdown.waitUntil(
+      () => shutdown.remainingAnswerMilliseconds,
+      isUnused,
+    );
+    await this.answerOpenRequests();
   }
 
-  /** Waits until no request is in progress, or until the timeout. */
-  async drain(timeoutMilliseconds: number): Promise<void> {
-    const {clock} = this.context;
-    const timeoutAt = clock.now() + timeoutMilliseconds;
-    while (this.open.size > 0 && clock.now() < timeoutAt) {
-      await clock.sleep(DRAIN_POLL_MILLISECONDS);
-    }
+  /** Answers all requests that have no answer yet, and sends the answers. */
+  private async answerOpenRequests(): Promise<void> {
+    const {shutdown} = this.context;
+    this.connections.closeIdle(0);
+    this.connections.answerPartialRequests(this.formatPartialResponse());
+    this.open.forEach(open => open.interrupt());
+    await shutdown.waitUntil(
+      () => shutdown.remainingMilliseconds,
+      () => this.closeUnusedConnections(),
+    );
   }
 
-  /** Closes all connections to callers and endpoints. */
+  /** Stops listening, and closes all connections to callers and endpoints. */
   close(): void {
+    this.server.close();
     this.open.forEach(open => this.logCutRequest(open));
     this.server.closeAllConnections();
     this.context.client.close();
   }
 
+  /** Closes the connections not in use; returns whether none is left. */
+  private closeUnusedConnections(): boolean {
+    this.connections.closeIdle(NEW_CONNECTION_MILLISECONDS);
+    return this.connections.count === 0;
+  }
+
   private handleRequest(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -176,13 +216,16 @@
     response.on('error', error =>
       logger.debug('caller_connection', {message: error.message}),
     );
-    const open = {
+    const open = new OpenRequest({
       request,
       response,
       metadata: dialect.readRequest(request.headers),
       arrivedAt: clock.now(),
-      connectionPosition: this.connections.recordRequest(request.socket),
-    };
+      connectionPosition: this.connections.recordRequest(
+        request.socket,
+        response,
+      ),
+    });
     this.open.add(open);
     response.once('close', () => this.open.delete(open));
     runTask('request', logger, () => this.serve(open));
@@ -190,25 +233,27 @@
 
   private async serve(open: OpenRequest): Promise<void> {
     const {context} = this;
-    const {request, response, metadata} = open;
+    const {request, response, metadata, controller} = open;
+    if (!(await open.waitForTurn())) {
+      return;
+    }
     const admission = this.admit(request, metadata);
     if (admission.kind === 'answered') {
       this.rejectRequest(open, admission.errorResponse);
       return;
     }
-    const read = await readBody(request, this.maximumBodyBytes);
-    if (read.kind !== 'whole') {
-      if (read.kind === 'too_large') {
-        const reason = 'the body is larger than operators allow';
-        this.rejectRequest(open, {
-          kind: 'rejected',
-          status: 413,
-          reason,
-        });
-      }
+    const read = await readBody(request, {
+      maximumBytes: this.maximumBodyBytes,
+      signal: controller.signal,
+    });
+    if (read.kind === 'too_large') {
+      const reason = 'the body is larger than operators allow';
+      this.rejectRequest(open, {kind: 'rejected', status: 413, reason});
+      return;
+    }
+    if (read.kind === 'broken') {
       return;
     }
-    const {body} = read;
     const resolution = await resolveStreamOrigin(metadata, admission, {
       ...context,
       findService: name =>
@@ -221,9 +266,23 @@
     if (response.destroyed) {
       return;
     }
+    if (read.kind === 'interrupted' || controller.signal.aborted) {
+      this.rejectRequest(open, this.createStoppingResponse());
+      return;
+    }
     const {service, origin} = resolution;
+    const {connectionPosition, arrivedAt} = open;
     const exchange = createExchange(
-      {...open, body, origin},
+      {
+        request,
+        response,
+        metadata,
+        connectionPosition,
+        arrivedAt,
+        controller,
+        body: read.body,
+        origin,
+      },
       {...admission, service},
       context.clock,
     );
@@ -255,21 +314,39 @@
     );
     if (
       admission.kind === 'admitted' &&
-      admission.route.isStream &&
-      context.shutdown.hasBegun
+      !this.endsInTime(admission, metadata)
     ) {
-      const reason = 'the gateway stops before a stream would end';
-      const retryAfterMilliseconds = DRAINING_RETRY_MILLISECONDS;
-      const errorResponse: ErrorResponse = {
-        kind: 'not_run',
-        reason,
-        retryAfterMilliseconds,
-      };
-      return {kind: 'answered', errorResponse};
+      return {kind: 'answered', errorResponse: this.createStoppingResponse()};
     }
     return admission;
   }
 
+  /** Creates the response to a request that would not end before the gateway. */
+  private createStoppingResponse(): ErrorResponse & {kind: 'not_run'} {
+    const ownMilliseconds = this.computeReturnMilliseconds() ?? 0;
+    return {
+      kind: 'not_run',
+      reason: 'the gateway stops before the request would end',
+      retryAfterMilliseconds:
+        this.context.gatewayReturns.computeDelay(ownMilliseconds),
+    };
+  }
+
+  /** Returns whether a request is expected to end before the gateway does. */
+  private endsInTime(
+    {route}: Admission & {kind: 'admitted'},
+    metadata: RequestMetadata,
+  ): boolean {
+    const {durations, shutdown} = this.context;
+    return (
+      !shutdown.hasBegun ||
+      decideLastRequest({
+        expectedMilliseconds: durations.estimate({route, metadata}),
+        remainingMilliseconds: shutdown.remainingAnswerMilliseconds,
+      })
+    );
+  }
+
   private async forward(exchange: Exchange): Promise<ExchangeResult> {
     const refusal = this.context.quarantine.admit(exchange);
     if (refusal !== undefined) {
@@ -324,4 +401,20 @@
       ...describeConnection(open.connectionPosition, shutdown),
     });
   }
+
+  /** Formats the response to a request whose head is incomplete. */
+  private formatPartialResponse(): string {
+    const {dialect} = this.context;
+    const {retryAfterMilliseconds} = this.createStoppingResponse();
+    const [name = '', value = ''] = dialect.buildRetryAfterHeaders(
+      retryAfterMilliseconds,
+    );
+    const lines = [
+      'HTTP/1.1 503 Service Unavailable',
+      `${name}: ${value}`,
+      'Content-Length: 0',
+      'Connection: close',
+    ];
+    return `${lines.join('\r\n')}\r\n\r\n`;
+  }
 }
