--- a/packages/forwarding/src/caller_server/caller_server.ts
+++ b/packages/forwarding/src/caller_server/caller_server.ts
@@ -139,7 +139,7 @@
     }
     this.open.forEach(open => open.interrupt());
     await shutdown.waitUntil(
-      () => shutdown.remainingMilliseconds,
+      () => shutdown.remainingProcessMilliseconds,
       () => this.open.size === 0 && this.connections.count === 0,
     );
   }
--- a/packages/forwarding/src/last_requests/last_requests.ts
+++ b/packages/forwarding/src/last_requests/last_requests.ts
@@ -68,7 +68,7 @@
       return undefined;
     }
     const endMilliseconds = this.options.hasStreams()
-      ? shutdown.remainingMilliseconds
+      ? shutdown.remainingProcessMilliseconds
       : shutdown.remainingDeregistrationMilliseconds;
     return Math.max(0, endMilliseconds) + RESTART_MILLISECONDS;
   }
--- a/packages/forwarding/src/shutdown/shutdown.test.ts
+++ b/packages/forwarding/src/shutdown/shutdown.test.ts
@@ -31,7 +31,7 @@
     await shutdown.waitUntil(() => shutdown.remainingAnswerMilliseconds);
     const remaining: number[] = [];
     await shutdown.waitUntil(
-      () => shutdown.remainingMilliseconds,
+      () => shutdown.remainingProcessMilliseconds,
       () => {
         remaining.push(shutdown.remainingAnswerMilliseconds);
         return false;
--- a/packages/forwarding/src/shutdown/shutdown.ts
+++ b/packages/forwarding/src/shutdown/shutdown.ts
@@ -71,7 +71,7 @@
   }
 
   /** Time until the process ends; infinite while none is planned. */
-  get remainingMilliseconds(): number {
+  get remainingProcessMilliseconds(): number {
     return this.computeRemaining(schedule => schedule.closeMilliseconds);
   }
 
@@ -99,11 +99,11 @@
         return;
       }
       wasDone = isDoneNow;
-      await this.pause(Math.min(POLL_MILLISECONDS, remaining()));
+      await this.sleepObserved(Math.min(POLL_MILLISECONDS, remaining()));
     }
   }
 
-  private async pause(milliseconds: number): Promise<void> {
+  private async sleepObserved(milliseconds: number): Promise<void> {
     const startedAt = this.clock.now();
     await this.clock.sleep(milliseconds);
     const lateness = this.clock.now() - startedAt - milliseconds;
