--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -21,6 +21,7 @@
   type ForwardingContext,
   type BufferedResponse,
 } from '../exchange/exchange.js';
+import {logUnframedEnd} from '../log_attempts/log_attempts.js';
 import {permitRetry} from '../permit_retry/permit_retry.js';
 
 /**
@@ -147,7 +148,12 @@
       createAttempt(exchange, context, entry),
     );
     const result = await readResult(attempt);
-    logUnframedEnd(exchange, context, entry, attempt, result);
+    if (attempt.kind === 'answered' && attempt.framing === 'connection') {
+      logUnframedEnd(exchange, context, entry, {
+        end: result.kind === 'whole' ? 'complete' : 'broken',
+        reason: result.kind === 'whole' ? undefined : result.reason,
+      });
+    }
     const failed = !isSuccess(result);
     loads.recordOutcome(
       entry.id,
@@ -160,25 +166,6 @@
   }
 }
 
-/** Logs how an answer ended that has neither a length nor chunks. */
-function logUnframedEnd(
-  {metadata}: Exchange,
-  {logger}: ForwardingContext,
-  {id}: EndpointCandidate['entry'],
-  attempt: AttemptResult,
-  result: CallResult,
-): void {
-  if (attempt.kind !== 'answered' || attempt.framing !== 'connection') {
-    return;
-  }
-  logger.info('unframed_answer_ended', {
-    request: metadata.requestId,
-    endpoint: id,
-    end: result.kind === 'whole' ? 'complete' : 'broken',
-    reason: result.kind === 'whole' ? undefined : result.reason,
-  });
-}
-
 function createAttempt(
   exchange: Exchange,
   context: ForwardingContext,
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -6,15 +6,12 @@
 import {
   chooseCheckpointHolder,
   chooseEngine,
-  computeMemoryShare,
   estimateOutputTokens,
 } from '../choose_placement/choose_placement.js';
 import type {MemorySource} from '../dialect/dialect.js';
-import type {EndpointCandidate} from '../endpoint_loads/endpoint_loads.js';
 import type {EvacuatedStream} from '../evacuator/evacuator.js';
 import {countEngineWork} from '../count_engine_work/count_engine_work.js';
 import {
-  describeSharedParts,
   failExchange,
   sendBufferedResponse,
   findUntriedEndpoints,
@@ -32,6 +29,12 @@
   type OpenFailure,
   type AttemptFailure,
 } from '../open_result/open_result.js';
+import {
+  logBrokenStream,
+  logPlacement,
+  logResumption,
+  logUnframedEnd,
+} from '../log_attempts/log_attempts.js';
 import {listMemoryHolders} from '../list_memory_holders/list_memory_holders.js';
 import {permitRetry} from '../permit_retry/permit_retry.js';
 import {pinStreamOrigin} from '../pin_stream_origin/pin_stream_origin.js';
@@ -201,7 +204,7 @@
         return failure;
       }
       exchange.triedEndpointIds.push(engine.id);
-      this.logPlacement(engine);
+      logPlacement(exchange, context, engine);
       const opened = await this.open({endpoint: engine.entry});
       if (opened.kind === 'leg' || exchange.signal.aborted) {
         return opened;
@@ -219,33 +222,17 @@
 
   /** Logs how a stream ended that has neither a length nor chunks. */
   private logUnframedEnd(stream: EndpointStream, end: EndpointStreamEnd): void {
-    const {exchange, context, writer} = this;
     if (stream.framing !== 'connection') {
       return;
     }
-    context.logger.info('unframed_answer_ended', {
-      request: exchange.metadata.requestId,
-      endpoint: stream.endpoint.id,
+    logUnframedEnd(this.exchange, this.context, stream.endpoint, {
       end: end.kind,
       reason: end.kind === 'broken' ? end.reason : undefined,
-      events: writer.sentEvents,
+      events: this.writer.sentEvents,
       unfinished: stream.unfinishedBytes,
     });
   }
 
-  private logPlacement(engine: EndpointCandidate): void {
-    const {exchange, context} = this;
-    context.logger.info('placed', {
-      request: exchange.metadata.requestId,
-      endpoint: engine.id,
-      software: engine.entry.softwareVersion,
-      open: engine.openRequests,
-      memory: computeMemoryShare(exchange, engine).toFixed(2),
-      wait: Math.round(engine.waitMilliseconds),
-      failures: engine.failureShare.toFixed(2),
-    });
-  }
-
   private mayRetry(opened: OpenResult): boolean {
     const {exchange, context, sendCount} = this;
     return permitRetry(exchange, context, {
@@ -268,12 +255,7 @@
       mayHaveRun: true,
       wasSent: true,
     };
-    this.context.logger.info('stream_broke', {
-      request: this.exchange.metadata.requestId,
-      fingerprint: this.exchange.fingerprint(),
-      parts: describeSharedParts(this.exchange),
-      endpoint: stream.endpoint.id,
-      software: stream.endpoint.softwareVersion,
+    logBrokenStream(this.exchange, this.context, stream.endpoint, {
       reason,
       events: this.writer.sentEvents,
       checkpoint: stream.checkpointHolder?.id,
@@ -332,11 +314,7 @@
   }
 
   private logResumption(endpoint: EndpointEntry, opened: OpenResult): void {
-    this.context.logger.info('stream_continued', {
-      request: this.exchange.metadata.requestId,
-      endpoint: endpoint.id,
-      software: endpoint.softwareVersion,
-      began: this.exchange.origin?.softwareVersion,
+    logResumption(this.exchange, this.context, endpoint, {
       outcome: opened.kind,
       events: this.writer.sentEvents,
       reason: opened.kind === 'failed' ? opened.reason : undefined,
