Move a run once although its engine is reported as leaving again

An engine's entry was rewritten with a new incarnation three times in 5 ms, each of which started an evacuation; three moves of one run overlapped, two of them were told that it had ended (the third had stopped it), and that answer is the evidence by which the end of such a stream counts as its own. Cause: a run is movable while a move of it is in progress. Class: a step that assumes it is alone. Change: a run is not movable while it has a move.

--- a/packages/forwarding/src/run_mover/run_mover.ts
+++ b/packages/forwarding/src/run_mover/run_mover.ts
@@ -80,6 +80,7 @@
   /** True when the run may be moved now if its engine shuts down. */
   get isMovable(): boolean {
     return (
+      this.move === undefined &&
       this.handedOverStream !== this.generation.endpointStream() &&
       this.context.clock.now() >= this.retryAt
     );
