Let a second move of a run wait for the first one

Cause: gateways report their movable runs, and take turns at the link of an engine by them; a run that vanished from the report while it was copied let others copy at the same time. Change: it stays movable, and a second move of a run waits until the first one releases the link. The test of run_mover holds as before (1 call that stops the run); 61 of 61 tests of moves, streams, pauses and versions pass.

--- a/packages/forwarding/src/run_mover/run_mover.ts
+++ b/packages/forwarding/src/run_mover/run_mover.ts
@@ -63,6 +63,8 @@
   private handedOverStream: MovingEndpointStream | undefined;
   /** Endpoint stream whose run the engine has been requested to stop. */
   private stoppingStream: MovingEndpointStream | undefined;
+  /** Resolves when the move in progress releases the link of the engine. */
+  private linkRelease: Promise<void> | undefined;
   /** The move in progress, or the one that stopped the run. */
   private move: Promise<MoveResult> | undefined;
 
@@ -80,7 +82,6 @@
   /** True when the run may be moved now if its engine shuts down. */
   get isMovable(): boolean {
     return (
-      this.move === undefined &&
       this.handedOverStream !== this.generation.endpointStream() &&
       this.context.clock.now() >= this.retryAt
     );
@@ -99,7 +100,18 @@
    * @param isOnlyRun - True when no other run is to be moved from the engine;
    *   allows targets in other regions
    */
-  async moveAway(source: EndpointEntry, isOnlyRun: boolean): Promise<void> {
+  moveAway(source: EndpointEntry, isOnlyRun: boolean): Promise<void> {
+    this.linkRelease ??= this.moveOnce(source, isOnlyRun).finally(
+      () => (this.linkRelease = undefined),
+    );
+    return this.linkRelease;
+  }
+
+  /** Moves the run; must not be called while a move holds the link. */
+  private async moveOnce(
+    source: EndpointEntry,
+    isOnlyRun: boolean,
+  ): Promise<void> {
     const {exchange, context, generation} = this;
     const {requestId} = exchange.metadata;
     const endpointStream = generation.endpointStream();
