--- a/packages/scheduling/src/compute_shutdown_schedule/compute_shutdown_schedule.ts
+++ b/packages/scheduling/src/compute_shutdown_schedule/compute_shutdown_schedule.ts
@@ -35,7 +35,7 @@
 const MAXIMUM_END_SHARE = 0.05;
 
 /** Largest part of the grace period that the lateness of timers takes. */
-const MAXIMUM_LATENESS_SHARE = 0.15;
+const MAXIMUM_LATENESS_SHARE = 0.1;
 
 /** Input of {@link computeShutdownSchedule}. */
 export interface ShutdownConditions {
