End a begun stream when the next engine fails or sends no events

Report of other operators: a stream broke off, the next server answered with an error, and callers found its text in their stream or a complete end. It can happen here. machine/broken_streams plays ten failures of the next engine, for resumed and for moved streams; 6 of 20 were red on the code before: - a signed 500, with or without a length: the response head was written a second time, which throws; the request was never ended and its caller waited for ever; - a signed success that is no event stream (a text, or a body without a length), for resumed and for moved streams: its text followed the events, and the stream ended as complete. Ruled out, green before: refusals, a bare 503, a head that is cut, an answer to another request, a close before the first event, a reset. Change: after the first event only events may follow; everything else breaks the stream off. Before it, the head is that of the response whose event comes first. A handler that throws ends its request with a log line; it hung before. After: 20 of 20 green.

--- a/packages/forwarding/src/caller_server/caller_server.ts
+++ b/packages/forwarding/src/caller_server/caller_server.ts
@@ -203,11 +203,31 @@
   }
 
   private async serveInTurn(open: OpenRequest): Promise<void> {
-    if (await open.waitForTurn()) {
+    if (!(await open.waitForTurn())) {
+      return;
+    }
+    try {
       await this.options.serve(open);
+    } catch (error) {
+      this.endFailedRequest(open, error);
     }
   }
 
+  /**
+   * Ends a request whose handler has thrown. It may have run, so that its
+   * connection is closed without a response.
+   */
+  private endFailedRequest(
+    {metadata, response}: OpenRequest,
+    error: unknown,
+  ): void {
+    this.context.logger.error('request_handler_failed', {
+      request: metadata.requestId,
+      message: error instanceof Error ? error.stack : String(error),
+    });
+    response.destroy();
+  }
+
   /** Logs a request whose connection is closed before it has its answer. */
   private logCutRequest(open: OpenRequest): void {
     const {clock, logger, shutdown} = this.context;
--- a/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
+++ b/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
@@ -10,6 +10,7 @@
   EventSplitter,
   type RawEvent,
 } from '../event_splitter/event_splitter.js';
+import {isEventStream} from '../open_result/open_result.js';
 
 /** How an endpoint's stream ended. */
 export type EndpointStreamEnd =
@@ -167,7 +168,3 @@
     }, idleTimeoutMilliseconds);
   }
 }
-
-function isEventStream({headers}: IncomingMessage): boolean {
-  return headers['content-type']?.startsWith('text/event-stream') === true;
-}
--- a/packages/forwarding/src/open_result/open_result.ts
+++ b/packages/forwarding/src/open_result/open_result.ts
@@ -1,6 +1,8 @@
 /**
  * Outcome of an attempt to open a stream.
  */
+import type {IncomingMessage} from 'node:http';
+
 import {bufferBody} from '../buffer_body/buffer_body.js';
 import {type AttemptResult} from '../endpoint_client/endpoint_client.js';
 import type {BufferedResponse} from '../exchange/exchange.js';
@@ -41,6 +43,17 @@
   return status >= FIRST_SUCCESS_STATUS && status <= LAST_SUCCESS_STATUS;
 }
 
+/**
+ * Returns true for a response whose body consists of events.
+ *
+ * @param response - Response of an endpoint
+ */
+export function isEventStream({
+  headers,
+}: Pick<IncomingMessage, 'headers'>): boolean {
+  return headers['content-type']?.startsWith('text/event-stream') === true;
+}
+
 /**
  * Returns why an attempt did not open a stream. Reads the body of an error
  * response to its end.
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -24,6 +24,7 @@
   type ForwardingContext,
 } from '../exchange/exchange.js';
 import {
+  isEventStream,
   isStreamResponse,
   readFailure,
   type OpenFailure,
@@ -59,6 +60,14 @@
 type OpenResult =
   {readonly kind: 'leg'; readonly stream: EndpointStream} | OpenFailure;
 
+/** Failure of a success response that cannot go on with a stream of events. */
+const NOT_EVENTS: AttemptFailure = {
+  kind: 'failed',
+  reason: 'the response does not go on with the events',
+  mayHaveRun: true,
+  wasSent: true,
+};
+
 /** Failure of an exchange whose caller disconnected or whose time is over. */
 const CANCELLED: AttemptFailure = {
   kind: 'failed',
@@ -122,7 +131,7 @@
     let opened = await this.openNewRun();
     for (;;) {
       if (opened.kind === 'failure_answer') {
-        return sendBufferedResponse(this.exchange, this.context, opened);
+        return this.answerWithFailure(opened);
       }
       if (opened.kind === 'failed') {
         return this.fail(opened);
@@ -393,6 +402,12 @@
       return failure;
     }
     this.mayHaveRun = true;
+    if (this.writer.sentEvents > 0 && !isEventStream(result.response)) {
+      countedWork.release();
+      controller.abort();
+      logFailedAttempt(exchange, context, endpoint.id, NOT_EVENTS.reason);
+      return NOT_EVENTS;
+    }
     this.writer.recordResponse(result.response);
     const stream: EndpointStream = new EndpointStream({
       endpoint,
@@ -425,6 +440,24 @@
     return {...this.writer.complete(remainder), reason};
   }
 
+  /**
+   * Sends the error response of an engine, unless events have been sent: nothing
+   * but events may follow them.
+   */
+  private answerWithFailure(
+    answer: OpenFailure & {kind: 'failure_answer'},
+  ): ExchangeResult {
+    if (!this.exchange.response.headersSent) {
+      return sendBufferedResponse(this.exchange, this.context, answer);
+    }
+    return this.fail({
+      kind: 'failed',
+      reason: `the engine that should go on failed with ${answer.status}`,
+      mayHaveRun: true,
+      wasSent: true,
+    });
+  }
+
   private fail({reason, mayHaveRun}: AttemptFailure): ExchangeResult {
     const {exchange, context} = this;
     const {response} = exchange;
--- a/packages/forwarding/src/stream_writer/stream_writer.ts
+++ b/packages/forwarding/src/stream_writer/stream_writer.ts
@@ -13,10 +13,10 @@
 
 /**
  * Forwards complete events as they arrive. Status and headers are those of the
- * first endpoint that responded.
+ * endpoint that sent the first of them.
  */
 export class StreamWriter {
-  private firstResponse: IncomingMessage | undefined;
+  private headResponse: IncomingMessage | undefined;
   private eventCount = 0;
   private newestEventId: string | undefined;
   private firstByteMilliseconds: number | undefined;
@@ -43,9 +43,14 @@
     return this.newestEventId;
   }
 
-  /** Records a stream response; the first one supplies status and headers. */
+  /**
+   * Records a stream response. Status and headers are those of the last one
+   * before the first event.
+   */
   recordResponse(response: IncomingMessage): void {
-    this.firstResponse ??= response;
+    if (!this.exchange.response.headersSent) {
+      this.headResponse = response;
+    }
   }
 
   /**
@@ -90,17 +95,17 @@
 
   private writeHead(): void {
     const {response, arrivedAt} = this.exchange;
-    const {firstResponse, context} = this;
-    if (response.headersSent || firstResponse === undefined) {
+    const {headResponse, context} = this;
+    if (response.headersSent || headResponse === undefined) {
       return;
     }
     this.firstByteMilliseconds = context.clock.now() - arrivedAt;
     const headers = context.dialect.buildResponseHeaders(
-      firstResponse.rawHeaders,
+      headResponse.rawHeaders,
     );
     if (closesConnection(this.exchange, context)) {
       headers.push('Connection', 'close');
     }
-    response.writeHead(firstResponse.statusCode ?? 0, headers);
+    response.writeHead(headResponse.statusCode ?? 0, headers);
   }
 }
