Confirm the configuration by gateways that read it

Change: three gateways read it (FreshnessExchange); the others ask one of them how recent their common version is and read the store when they hear of a newer version, or when nothing has confirmed their copy for half of the bound. An answer counts from the question, so that late, repeated and paused messages claim nothing. Calls are counted by topic and kind (metric briarpin_store_calls_total, log line store_calls). Registrations every 120 s and long polls of the gateways of 30 s. A gateway counts as reaching the store by its own calls, not by the age of its configuration. Readers are selected by the cheap rendezvous hash. Ruled out: confirming by the time of receipt (a frozen gateway reads old messages).

--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -71,9 +71,10 @@
 
 /**
  * Average time between two registrations of a process. One registration is
- * enough; the repetitions restore an entry that the store has lost.
+ * enough; the repetitions restore an entry that the store has lost. Until then,
+ * a process that starts is found by its own registration.
  */
-export const REGISTRATION_INTERVAL_MILLISECONDS = 30_000;
+export const REGISTRATION_INTERVAL_MILLISECONDS = 120_000;
 
 /** Time for which late entries of a removed endpoint are recognized. */
 export const REMOVED_ENTRY_RETENTION_MILLISECONDS = 120_000;
--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -102,16 +102,21 @@
     this.softwareHistory = new SoftwareVersionHistory(options.now);
   }
 
-  /** Records a store response; must be called before applying its records. */
-  recordStoreResponse(): void {
-    const now = this.options.now();
-    const silenceMilliseconds = now - this.lastResponseAt;
+  /**
+   * Records that the store responded; must be called before applying what it
+   * returned.
+   *
+   * @param respondedAt - Monotonic time of the response; earlier than now if
+   *     another process received it
+   */
+  recordStoreResponse(respondedAt = this.options.now()): void {
+    const silenceMilliseconds = respondedAt - this.lastResponseAt;
     const expiryMilliseconds =
       this.options.heartbeatMilliseconds * HEARTBEATS_UNTIL_EXPIRY;
     if (silenceMilliseconds >= expiryMilliseconds) {
       this.startGracePeriod();
     }
-    this.lastResponseAt = now;
+    this.lastResponseAt = Math.max(this.lastResponseAt, respondedAt);
   }
 
   /**
--- a/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.test.ts
+++ b/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.test.ts
@@ -63,8 +63,9 @@
     clock,
     random: () => 0,
     signal: abortController.signal,
-    longPollMilliseconds: 500,
-    waitForBatch: signal => clock.sleep(50, signal),
+    longPollMilliseconds: () => 500,
+    waitForNextRead: (waitSignal, hasRecords) =>
+      hasRecords ? clock.sleep(50, waitSignal) : Promise.resolve(),
     onSnapshot: records =>
       events.push(`all ${records.map(({key}) => key).join()}`),
     onRecords: records => events.push(records.map(({key}) => key).join()),
--- a/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
+++ b/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
@@ -68,10 +68,22 @@
   /** Random number generator for backoff jitter, returns values in [0, 1). */
   readonly random: () => number;
   readonly signal: AbortSignal;
-  /** Maximum time that the store waits for a record, in milliseconds. */
-  readonly longPollMilliseconds: number;
-  /** Delays the next read after records, so that it returns a batch of them. */
-  readonly waitForBatch: (signal: AbortSignal) => Promise<void>;
+  /**
+   * Returns the maximum time that the store waits for a record in the next read,
+   * in milliseconds.
+   */
+  readonly longPollMilliseconds: () => number;
+  /**
+   * Delays the next read after a successful one.
+   *
+   * @param signal - Ends the delay early
+   * @param hasRecords - Whether the last read returned records; a delay then
+   *   makes the next one return a batch of them
+   */
+  readonly waitForNextRead: (
+    signal: AbortSignal,
+    hasRecords: boolean,
+  ) => Promise<void>;
   /** Receives the records of all keys; keys without a record were removed. */
   readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
   /** Receives records in order; later records of a key replace earlier ones. */
@@ -114,7 +126,8 @@
     const isSnapshot = position === undefined;
     // After a failure, the next read does not wait for records, so that the
     // current state is confirmed without delay.
-    const waitMilliseconds = failures === 0 ? options.longPollMilliseconds : 0;
+    const waitMilliseconds =
+      failures === 0 ? options.longPollMilliseconds() : 0;
     const response: Result<KeyedPage, LogError> =
       position === undefined
         ? await store.readNewest(topic, signal)
@@ -157,8 +170,6 @@
     }
     const isEmpty = response.value.records.length === 0;
     confirm(isEmpty && !isSnapshot ? waitMilliseconds : 0);
-    if (!isEmpty) {
-      await options.waitForBatch(signal);
-    }
+    await options.waitForNextRead(signal, !isEmpty);
   }
 }
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -12,6 +12,7 @@
 export * from './find_route/find_route.js';
 export * from './follow_keyed_topic/follow_keyed_topic.js';
 export * from './follow_log/follow_log.js';
+export * from './freshness_exchange/freshness_exchange.js';
 export * from './in_memory_log/in_memory_log.js';
 export * from './keep_registered/keep_registered.js';
 export * from './keeper_selector/keeper_selector.js';
--- a/packages/coordination/src/select_readers/select_readers.ts
+++ b/packages/coordination/src/select_readers/select_readers.ts
@@ -2,7 +2,7 @@
  * Selects the processes that read a busy topic on behalf of all.
  */
 import {READERS_PER_TOPIC} from '../constants.js';
-import {rankByRendezvous} from '../rank_by_rendezvous/rank_by_rendezvous.js';
+import {KeeperSelector} from '../keeper_selector/keeper_selector.js';
 
 /**
  * Selects the processes that read a topic frequently and forward its records.
@@ -22,5 +22,5 @@
   processes: readonly string[],
   topic: string,
 ): readonly string[] {
-  return rankByRendezvous(processes, topic).slice(0, READERS_PER_TOPIC);
+  return new KeeperSelector().select(processes, topic, READERS_PER_TOPIC);
 }
--- a/packages/daemon/src/machine/exchange_reports.ts
+++ b/packages/daemon/src/machine/exchange_reports.ts
@@ -50,10 +50,9 @@
     suspicions: selectReportedSuspicions(state.recentSuspicions.list(), now),
     limits: limits.createReport(),
     endpointsAgeMilliseconds: toReportedAge(now - state.endpointsReadAt),
-    storeAgeMilliseconds: toReportedAge(
-      state.stalenessTracker.ageMilliseconds(),
-    ),
+    storeAgeMilliseconds: toReportedAge(state.store.unreachableMilliseconds),
     returnMilliseconds: toReportedReturn(gateway.computeReturnMilliseconds()),
+    configurationVersion: state.storeState.configuration?.version,
   };
 }
 
@@ -63,7 +62,8 @@
  * @param report - The received report
  * @param components - Endpoint loads, registry, limits and returns to update
  * @param mesh - Evicts the gateways without a recent report
- * @param state - Suspicions to update; all are reported to a new process
+ * @param state - Suspicions to update; all are reported to a new process. Reads
+ *   the configuration when the report names a newer version
  */
 export function applyReport(
   report: ReceivedReport,
@@ -80,8 +80,15 @@
   {
     suspicionTable,
     recentSuspicions,
-  }: Pick<MachineState, 'suspicionTable' | 'recentSuspicions'>,
+    configurationFreshness,
+  }: Pick<
+    MachineState,
+    'suspicionTable' | 'recentSuspicions' | 'configurationFreshness'
+  >,
 ): void {
+  if (report.configurationVersion !== undefined) {
+    configurationFreshness.recordVersion(report.configurationVersion);
+  }
   loads.setGatewayWork(report.gateway, report.work);
   limits.applyReport(report.gateway, report.limits);
   gatewayReturns.record(report.gateway, report.returnMilliseconds);
--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -9,6 +9,7 @@
   type EndpointEntry,
   type EndpointRegistry,
   type FollowKeyedTopicOptions,
+  type FreshnessExchange,
   type KeyedRecord,
   type KeyedTopicStore,
   type RoutingConfiguration,
@@ -39,20 +40,14 @@
 /** Topic in which gateways publish the addresses that receive reports. */
 export const GATEWAYS_TOPIC = 'keyed.gateways';
 
-/**
- * Maximum duration of a long poll of the configuration, as fractions of the
- * time to apply a change and of the time to reject a revoked key. Each response
- * confirms that nothing has changed; the remaining time suffices to detect and
- * repeat a failed read.
- */
-const CONFIGURATION_POLL_SHARE = 0.6;
-const REVOCATION_POLL_SHARE = 0.4;
-
 /** Maximum duration of a long poll of the endpoints. */
 const ENDPOINTS_POLL_MILLISECONDS = 2_000;
 
 /** Maximum duration of a long poll of the gateways; no operation waits for it. */
-const GATEWAYS_POLL_MILLISECONDS = 15_000;
+const GATEWAYS_POLL_MILLISECONDS = 30_000;
+
+/** Maximum duration of a long poll of the suspicions. */
+const SUSPICIONS_POLL_MILLISECONDS = 15_000;
 
 /**
  * Delay between records of gateways and the next read. A long delay suffices:
@@ -92,6 +87,8 @@
   readonly storeState: StoreState;
   /** Receives a confirmation for each read of the configuration. */
   readonly stalenessTracker: StalenessTracker;
+  /** Decides when this gateway reads the configuration itself. */
+  readonly configurationFreshness: FreshnessExchange;
   readonly endpoints: EndpointRegistry;
   readonly bounds: StoreBounds;
   /** Called after each successful read of the endpoints. */
@@ -110,7 +107,7 @@
   | 'onRecords'
   | 'onReadStart'
   | 'onStoreRestored'
-  | 'waitForBatch'
+  | 'waitForNextRead'
   | 'longPollMilliseconds'
 >;
 
@@ -183,18 +180,16 @@
 }
 
 function followConfiguration(options: FollowStoreOptions): TopicOptions {
-  const {stalenessTracker, bounds, endpoints} = options;
+  const {stalenessTracker, configurationFreshness, endpoints} = options;
   const applyRecords = (records: readonly KeyedRecord[]) =>
     records.forEach(record => applyConfiguration(record, options));
   return {
-    longPollMilliseconds: Math.min(
-      bounds.configurationMilliseconds * CONFIGURATION_POLL_SHARE,
-      bounds.revocationMilliseconds * REVOCATION_POLL_SHARE,
-    ),
-    waitForBatch: () => Promise.resolve(),
+    longPollMilliseconds: () => configurationFreshness.longPollMilliseconds,
+    waitForNextRead: signal => configurationFreshness.waitForNextRead(signal),
     onSnapshot: applyRecords,
     onRecords: applyRecords,
     onReadStart: () => {
+      configurationFreshness.recordReadStart();
       const sentAt = stalenessTracker.readTime();
       return waitedMilliseconds => {
         stalenessTracker.confirm(
@@ -237,8 +232,10 @@
 function followEndpoints(options: FollowStoreOptions): TopicOptions {
   const {endpoints, storeState} = options;
   return {
-    longPollMilliseconds: ENDPOINTS_POLL_MILLISECONDS,
-    waitForBatch: signal => delayEndpointsRead(options, signal),
+    longPollMilliseconds: () => ENDPOINTS_POLL_MILLISECONDS,
+    waitForNextRead: afterRecords(signal =>
+      delayEndpointsRead(options, signal),
+    ),
     onSnapshot: records => {
       endpoints.recordStoreResponse();
       const entries = records.map(record => decodeEntry(record, options));
@@ -295,9 +292,10 @@
     options.onGateways([...peers.values()]);
   };
   return {
-    longPollMilliseconds: GATEWAYS_POLL_MILLISECONDS,
-    waitForBatch: signal =>
+    longPollMilliseconds: () => GATEWAYS_POLL_MILLISECONDS,
+    waitForNextRead: afterRecords(signal =>
       options.clock.sleep(GATEWAYS_BATCH_MILLISECONDS, signal),
+    ),
     onSnapshot: records => {
       peers.clear();
       applyRecords(records);
@@ -316,12 +314,22 @@
   );
   return {
     ...applyTopicTo(replica, logger),
-    longPollMilliseconds: GATEWAYS_POLL_MILLISECONDS,
-    waitForBatch: signal => clock.sleep(SUSPICIONS_BATCH_MILLISECONDS, signal),
+    longPollMilliseconds: () => SUSPICIONS_POLL_MILLISECONDS,
+    waitForNextRead: afterRecords(signal =>
+      clock.sleep(SUSPICIONS_BATCH_MILLISECONDS, signal),
+    ),
     onReadStart: () => () => undefined,
   };
 }
 
+/** Creates a delay that applies only after a read that returned records. */
+function afterRecords(
+  delay: (signal: AbortSignal) => Promise<void>,
+): FollowKeyedTopicOptions['waitForNextRead'] {
+  return (signal, hasRecords) =>
+    hasRecords ? delay(signal) : Promise.resolve();
+}
+
 /** Encodes the address at which a gateway receives reports. */
 export function encodeGateway({host, port}: GatewayPeer): Buffer {
   return Buffer.from(JSON.stringify({host, port}));
--- a/packages/daemon/src/machine/machine_state.ts
+++ b/packages/daemon/src/machine/machine_state.ts
@@ -3,6 +3,7 @@
  */
 import type {
   EndpointEntry,
+  FreshnessExchange,
   StalenessTracker,
   SuspicionTable,
 } from '@briarpin/coordination';
@@ -10,6 +11,7 @@
 
 import type {StoreState} from './follow_store.js';
 import type {ExpiringList} from './expiring_list.js';
+import type {ObservedStore} from './observed_store.js';
 
 /** State shared by the components of a running gateway. */
 export interface MachineState {
@@ -17,6 +19,10 @@
   readonly storeState: StoreState;
   /** Tracks the age of the configuration read from the store. */
   readonly stalenessTracker: StalenessTracker;
+  /** Confirms the configuration by what other gateways have read. */
+  readonly configurationFreshness: FreshnessExchange;
+  /** The platform's store. */
+  readonly store: ObservedStore;
   /** Aborted at shutdown; stops all background tasks. */
   readonly abortController: AbortController;
   /** Endpoints that recently stopped accepting work; included in reports. */
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -6,7 +6,6 @@
   StalenessTracker,
   SuspicionTable,
   keepRegistered,
-  selectReaders,
   MONOTONIC_CLOCK,
   type EndpointEntry,
   type LeavingReason,
@@ -20,17 +19,23 @@
 import {
   ENDPOINTS_TOPIC,
   KeyedStore,
+  OPERATORS_TOPIC,
   type InstanceSettings,
 } from '@briarpin/machines';
 import {runTask, type EventLogger} from '@briarpin/telemetry';
 
+import {createConfigurationFreshness} from './create_configuration_freshness.js';
 import {createForwardingContext} from './create_forwarding_context.js';
 import {createTelemetry} from './create_telemetry.js';
 import {createReport, applyReport} from './exchange_reports.js';
 import {encodeGateway, followStore, GATEWAYS_TOPIC} from './follow_store.js';
+import type {StoreState} from './follow_store.js';
 import type {MachineState} from './machine_state.js';
 import {ExpiringList} from './expiring_list.js';
+import {ObservedStore} from './observed_store.js';
+import {selectReadersOf} from './select_readers_of.js';
 import {startServers, type ServerPorts} from './start_servers.js';
+import {StoreCallLog} from './store_call_log.js';
 
 /**
  * Age of the configuration at which keys are rejected, as a fraction of the
@@ -44,12 +49,6 @@
  */
 const DENIAL_AGE_SHARE = 0.8;
 
-/**
- * Age of the last read at which a gateway no longer counts as reaching the
- * store; above the maximum duration of a long poll of the configuration.
- */
-const MAXIMUM_STORE_AGE_MILLISECONDS = 3_000;
-
 /**
  * Time for which reports include a departure; long enough that several
  * datagrams may be lost.
@@ -104,11 +103,28 @@
   settings: InstanceSettings,
   logStream: NodeJS.WritableStream,
 ): Promise<RunningMachine> {
+  const storeState: StoreState = {hasEndpoints: false};
+  const stalenessTracker = new StalenessTracker({
+    monotonicMilliseconds: () => performance.now(),
+    wallClockMilliseconds: () => Date.now(),
+  });
+  const storeCallLog = new StoreCallLog();
   const state: MachineState = {
-    storeState: {hasEndpoints: false},
-    stalenessTracker: new StalenessTracker({
-      monotonicMilliseconds: () => performance.now(),
-      wallClockMilliseconds: () => Date.now(),
+    storeState,
+    stalenessTracker,
+    configurationFreshness: createConfigurationFreshness(settings, {
+      storeState,
+      stalenessTracker,
+      mesh: () => mesh,
+      endpoints: () => components.endpoints,
+      logger: () => logger,
+    }),
+    store: new ObservedStore(new KeyedStore(settings.storeAddress), {
+      clock: MONOTONIC_CLOCK,
+      onCall: (topic, call) => {
+        storeCallLog.record(topic, call);
+        telemetry.metrics.countStoreCall(topic, call);
+      },
     }),
     abortController: new AbortController(),
     departures: new ExpiringList(
@@ -159,7 +175,12 @@
       state.recentSuspicions.add(record);
       mesh.broadcast();
     },
-    originTransport: () => mesh,
+    originTransport: () => ({
+      reachableGateways: mesh.reachableGateways,
+      knownGateways: mesh.knownGateways,
+      sendMessage: (gateways, message) =>
+        mesh.sendMessage('streamOrigins', gateways, message),
+    }),
     reachableGateways: () => mesh.reachableGateways,
   });
   const gateway = createGateway(settings, components, state);
@@ -174,6 +195,12 @@
   const meshPort = await mesh.listen();
   const meshRun = mesh.run(state.abortController.signal);
   startFollowingStore(settings, components, {state, gateway, mesh, meshPort});
+  runTask('store_calls', logger, () =>
+    storeCallLog.run(
+      {clock: MONOTONIC_CLOCK, logger},
+      state.abortController.signal,
+    ),
+  );
   const stop = async () => {
     state.abortController.abort();
     gateway.close();
@@ -225,8 +252,11 @@
   {state, gateway, mesh, meshPort}: StoreFollowingContext,
 ): void {
   const {clock, random, logger, endpoints, retryBudgets} = components;
-  const store = new KeyedStore(settings.storeAddress);
+  const {store, configurationFreshness} = state;
   const {signal} = state.abortController;
+  runTask('configuration_freshness', logger, () =>
+    configurationFreshness.run(signal),
+  );
   followStore({
     store,
     clock,
@@ -235,21 +265,22 @@
     signal,
     storeState: state.storeState,
     stalenessTracker: state.stalenessTracker,
+    configurationFreshness,
     endpoints,
     bounds: settings.bounds,
     suspicionTable: state.suspicionTable,
     gateway: settings.instance,
-    isReader: () => {
-      const others = mesh.findGatewaysReachingStore(
-        MAXIMUM_STORE_AGE_MILLISECONDS,
-      );
-      const {gateway: self} = mesh;
-      return selectReaders([self, ...others], ENDPOINTS_TOPIC).includes(self);
-    },
+    isReader: () =>
+      selectReadersOf(ENDPOINTS_TOPIC, mesh).includes(mesh.gateway),
     receivedEndpointsAgeMilliseconds: () =>
       mesh.computeReceivedEndpointsAgeMilliseconds(),
     onEndpointsRead: () => (state.endpointsReadAt = clock.now()),
-    onConfiguration: configuration => gateway.applyLimits(configuration.limits),
+    onConfiguration: configuration => {
+      gateway.applyLimits(configuration.limits);
+      if (selectReadersOf(OPERATORS_TOPIC, mesh).includes(mesh.gateway)) {
+        mesh.broadcast();
+      }
+    },
     onGateways: gateways => {
       mesh.setPeers(gateways);
       retryBudgets.setGatewayCount(gateways.length);
@@ -313,8 +344,12 @@
         );
       }
     },
-    onMessage: (message, reply) =>
-      components.streamOrigins.receive(message, reply),
+    messageHandlers: {
+      streamOrigins: (message, reply) =>
+        components.streamOrigins.receive(message, reply),
+      freshness: (message, reply) =>
+        state.configurationFreshness.receive(message, reply),
+    },
   });
   return mesh;
 }
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
@@ -39,10 +39,12 @@
   readonly isFirst: boolean;
   /** Time between its last read of the endpoints and this report. */
   readonly endpointsAgeMilliseconds: number;
-  /** Time between its last read of anything in the store and this report. */
+  /** Time for which it had not reached the store, at this report. */
   readonly storeAgeMilliseconds: number;
   /** Time until that gateway serves again; absent while it serves. */
   readonly returnMilliseconds?: number;
+  /** Version of its configuration; absent before the first one. */
+  readonly configurationVersion?: number;
   /** Receive time, in milliseconds of the local clock. */
   readonly receivedAt: number;
 }
@@ -58,8 +60,24 @@
   readonly storeAgeMilliseconds: number;
   /** Time until this gateway serves again; absent while it serves. */
   readonly returnMilliseconds?: number;
+  /** Version of the configuration; absent before the first one. */
+  readonly configurationVersion?: number;
 }
 
+/** What a message between two gateways is about. */
+export type MessageKind = keyof typeof MESSAGE_MARKS;
+
+/**
+ * Handles a message that another gateway has sent to this one alone.
+ *
+ * @param message - The message
+ * @param reply - Sends a message of the same kind back
+ */
+export type MessageHandler = (
+  message: Buffer,
+  reply: (message: Uint8Array) => void,
+) => void;
+
 /** Options of {@link GatewayMesh}. */
 export interface GatewayMeshOptions {
   readonly gateway: string;
@@ -74,23 +92,15 @@
   readonly createReport: () => LocalReport;
   /** Called for each report; it replaces the sender's earlier one. */
   readonly onReport: (report: ReceivedReport) => void;
-  /**
-   * Called for each message that another gateway has sent to this one alone.
-   *
-   * @param message - The message
-   * @param reply - Sends a message back
-   */
-  readonly onMessage?: (
-    message: Buffer,
-    reply: (message: Uint8Array) => void,
-  ) => void;
+  /** Handlers of the messages that are expected, by kind. */
+  readonly messageHandlers?: Partial<Record<MessageKind, MessageHandler>>;
 }
 
 /**
- * First byte of a datagram with a message instead of a report. No report begins
- * with it, and gateways without messages discard such a datagram as malformed.
+ * First bytes of datagrams with a message instead of a report. No report begins
+ * with them, and gateways that do not know one discard such a datagram.
  */
-const MESSAGE_MARK = Buffer.from([0x07]);
+const MESSAGE_MARKS = {streamOrigins: 0x07, freshness: 0x0f} as const;
 
 /** Minimum interval between periodic reports. */
 const MINIMUM_INTERVAL_MILLISECONDS = 150;
@@ -133,14 +143,15 @@
    */
   constructor(private readonly options: GatewayMeshOptions) {
     this.socket.on('message', (datagram, sender) => {
-      if (datagram[0] === MESSAGE_MARK[0]) {
-        const {address: host, port} = sender;
-        options.onMessage?.(datagram.subarray(MESSAGE_MARK.length), message =>
-          this.sendMessageTo({host, port}, message),
-        );
-      } else {
+      const kind = readMessageKind(datagram);
+      if (kind === undefined) {
         this.receive(datagram, sender);
+        return;
       }
+      const {address: host, port} = sender;
+      options.messageHandlers?.[kind]?.(datagram.subarray(1), message =>
+        this.sendMessageTo({host, port}, kind, message),
+      );
     });
     this.socket.on('error', error =>
       options.logger.warn('gateway_mesh_failed', {message: error.message}),
@@ -176,9 +187,10 @@
   }
 
   /**
-   * Finds the other gateways that have reported a recent read from the store.
+   * Finds the other gateways that have reported to reach the store, or to have
+   * reached it recently.
    *
-   * @param maximumAgeMilliseconds - Exclusive limit of the age of that read
+   * @param maximumAgeMilliseconds - Exclusive limit of the time since then
    */
   findGatewaysReachingStore(maximumAgeMilliseconds: number): string[] {
     const now = this.options.clock.now();
@@ -245,10 +257,14 @@
   }
 
   /** Sends a message to some of the gateways; it may be lost. */
-  sendMessage(gateways: readonly string[], message: Uint8Array): void {
+  sendMessage(
+    kind: MessageKind,
+    gateways: readonly string[],
+    message: Uint8Array,
+  ): void {
     this.findPeers()
       .filter(({gateway}) => gateways.includes(gateway))
-      .forEach(peer => this.sendMessageTo(peer, message));
+      .forEach(peer => this.sendMessageTo(peer, kind, message));
   }
 
   /** Sends a report to all peers immediately. */
@@ -273,9 +289,11 @@
 
   private sendMessageTo(
     {host, port}: Pick<GatewayPeer, 'host' | 'port'>,
+    kind: MessageKind,
     message: Uint8Array,
   ): void {
-    this.socket.send([MESSAGE_MARK, message], port, host);
+    const mark = Buffer.from([MESSAGE_MARKS[kind]]);
+    this.socket.send([mark, message], port, host);
   }
 
   /**
@@ -325,6 +343,18 @@
   }
 }
 
+/** Returns the kind of message in a datagram; undefined for a report. */
+function readMessageKind(datagram: Buffer): MessageKind | undefined {
+  switch (datagram[0]) {
+    case MESSAGE_MARKS.streamOrigins:
+      return 'streamOrigins';
+    case MESSAGE_MARKS.freshness:
+      return 'freshness';
+    default:
+      return undefined;
+  }
+}
+
 /** Orders the reports of one gateway across restarts. */
 interface ReportVersion {
   readonly startedAt: number;
--- a/packages/messages/src/index.ts
+++ b/packages/messages/src/index.ts
@@ -16,6 +16,7 @@
 export * from './generated/engine_load.js';
 export * from './generated/engine_order.js';
 export * from './generated/engine_token_event.js';
+export {FreshnessMessage, type FreshnessAnswer} from './generated/freshness.js';
 export {
   GatewayNews,
   type ArrivedEndpoint,
--- a/packages/telemetry/src/gateway_metrics/gateway_metrics.test.ts
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.test.ts
@@ -19,6 +19,7 @@
     metrics.countRequest('done', 200);
     metrics.countRequest('done', 200);
     metrics.countEvent('endpoint_leaving');
+    metrics.countStoreCall('keyed.op', 'read_from');
     histograms.record('first_token_milliseconds', 'quilters', 'r-1', 40);
     const text = await metrics.render();
     assert.match(
@@ -27,6 +28,10 @@
     );
     assert.match(text, /briarpin_events_total\{event="endpoint_leaving"\} 1/);
     assert.match(text, /briarpin_open_requests 3/);
+    assert.match(
+      text,
+      /briarpin_store_calls_total\{topic="keyed.op",call="read_from"\} 1/,
+    );
     assert.match(text, /briarpin_store_age_milliseconds 120/);
     assert.match(
       text,
--- a/packages/telemetry/src/gateway_metrics/gateway_metrics.ts
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.ts
@@ -11,6 +11,8 @@
   readonly countRequest: (outcome: string, status: number) => void;
   /** Counts a log event by its name. */
   readonly countEvent: (event: string) => void;
+  /** Counts a call to the platform's store by its topic and kind. */
+  readonly countStoreCall: (topic: string, call: string) => void;
   /** Renders all metrics as text. */
   readonly render: () => Promise<string>;
   readonly contentType: string;
@@ -52,6 +54,12 @@
     labelNames: ['event'],
     registers,
   });
+  const storeCalls = new Counter({
+    name: 'briarpin_store_calls_total',
+    help: 'Calls to the store of the platform.',
+    labelNames: ['topic', 'call'],
+    registers,
+  });
   addGauge('briarpin_open_requests', 'Requests that are open.', {
     registers,
     read: gauges.openRequests,
@@ -73,6 +81,7 @@
     countRequest: (outcome, status) =>
       requests.inc({outcome, status: String(status)}),
     countEvent: event => events.inc({event}),
+    countStoreCall: (topic, call) => storeCalls.inc({topic, call}),
     render: () => registry.metrics(),
     contentType: registry.contentType,
   };
