--- a/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
+++ b/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
@@ -99,6 +99,11 @@
    * copy, which may lack records that were already read.
    */
   readonly onStoreRestored?: () => void;
+  /**
+   * Returns the maximum delay between failed reads once a snapshot has been
+   * read, in milliseconds; short by default.
+   */
+  readonly maximumBackoffMilliseconds?: () => number;
   /** Called for each failed read, except when records have been trimmed. */
   readonly onFailure: (error: LogError) => void;
 }
@@ -146,7 +151,7 @@
         computeBackoff(
           failures,
           options.random,
-          TOPIC_BACKOFF_MAXIMUM_MILLISECONDS,
+          computeMaximumBackoff(options, isSnapshot),
         ),
         signal,
       );
@@ -173,3 +178,13 @@
     await options.waitForNextRead(signal, !isEmpty);
   }
 }
+
+/** A process without a snapshot always retries often. */
+function computeMaximumBackoff(
+  {maximumBackoffMilliseconds}: FollowKeyedTopicOptions,
+  isSnapshot: boolean,
+): number {
+  return isSnapshot || maximumBackoffMilliseconds === undefined
+    ? TOPIC_BACKOFF_MAXIMUM_MILLISECONDS
+    : maximumBackoffMilliseconds();
+}
--- a/packages/coordination/src/freshness_exchange/freshness_exchange.test.ts
+++ b/packages/coordination/src/freshness_exchange/freshness_exchange.test.ts
@@ -147,6 +147,20 @@
       fleet.stop();
     });
 
+    it('retries at the readers, and confirms all copies soon after an outage', async () => {
+      const fleet = await SimulatedFleet.start(30);
+      await fleet.advance(SETTLE_MILLISECONDS);
+      fleet.cutAll();
+      const before = fleet.callCount;
+      await fleet.advance(8_000);
+      const perSecond = (fleet.callCount - before) / 8;
+      assert.ok(perSecond <= 30, `${perSecond} calls a second`);
+      fleet.mendAll();
+      await fleet.advance(1_500);
+      assert.ok(fleet.greatestAge < 1_500, `${fleet.greatestAge} ms`);
+      fleet.stop();
+    });
+
     it('does not confirm an older copy to a process that is cut off', async () => {
       const fleet = await SimulatedFleet.start(30);
       await fleet.advance(SETTLE_MILLISECONDS);
--- a/packages/coordination/src/freshness_exchange/freshness_exchange.ts
+++ b/packages/coordination/src/freshness_exchange/freshness_exchange.ts
@@ -5,6 +5,10 @@
 
 import type {Clock} from '../clock/clock.js';
 import {WakeableSleep} from '../_lib/wakeable_sleep.js';
+import {
+  FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS,
+  TOPIC_BACKOFF_MAXIMUM_MILLISECONDS,
+} from '../constants.js';
 import type {StalenessTracker} from '../staleness_tracker/staleness_tracker.js';
 
 /** Time to wait for an answer before another reader is asked. */
@@ -90,9 +94,22 @@
     return isReader() ? boundMilliseconds * READER_POLL_SHARE : 0;
   }
 
-  /** Asks a reader periodically until the signal is aborted. */
+  /**
+   * Maximum delay between failed reads, in milliseconds. A process that is no
+   * reader learns from one that the topic can be read again.
+   */
+  get maximumBackoffMilliseconds(): number {
+    return this.options.isReader()
+      ? TOPIC_BACKOFF_MAXIMUM_MILLISECONDS
+      : FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS;
+  }
+
+  /**
+   * Asks a reader periodically until the signal is aborted: often while the own
+   * copy is not recent, so that it is confirmed soon after the readers' own.
+   */
   async run(signal: AbortSignal): Promise<void> {
-    const {clock, isReader, findReaders, boundMilliseconds} = this.options;
+    const {clock, isReader, findReaders} = this.options;
     while (!signal.aborted) {
       const readers = isReader() ? [] : findReaders();
       const reader = readers[this.unanswered % Math.max(1, readers.length)];
@@ -102,7 +119,7 @@
       const hasAskedAll =
         reader === undefined || this.unanswered % readers.length === 0;
       if (isAnswered || hasAskedAll) {
-        await clock.sleep(boundMilliseconds * QUESTION_SHARE, signal);
+        await clock.sleep(this.questionInterval, signal);
       }
     }
   }
@@ -166,6 +183,12 @@
     return this.options.stalenessTracker.ageMilliseconds();
   }
 
+  private get questionInterval(): number {
+    return this.ageMilliseconds < this.maximumAge
+      ? this.options.boundMilliseconds * QUESTION_SHARE
+      : ANSWER_TIMEOUT_MILLISECONDS;
+  }
+
   private get maximumAge(): number {
     return this.options.boundMilliseconds * MAXIMUM_AGE_SHARE;
   }
--- a/packages/coordination/src/freshness_exchange/simulated_fleet.ts
+++ b/packages/coordination/src/freshness_exchange/simulated_fleet.ts
@@ -22,7 +22,6 @@
 
 const TOPIC = 'topic';
 const STORE_MILLISECONDS = 4;
-const CALL_TIMEOUT_MILLISECONDS = 900;
 const MESSAGE_MILLISECONDS = 12;
 
 /** Time without a report after which others no longer count a process. */
@@ -128,6 +127,17 @@
     this.processes.forEach(each => (each.isCut = true));
   }
 
+  mendAll(): void {
+    this.processes.forEach(each => (each.isCut = false));
+  }
+
+  /** Age of the oldest copy now. */
+  get greatestAge(): number {
+    return Math.max(
+      ...[...this.processes.keys()].map(name => this.ageOf(name)),
+    );
+  }
+
   ageOf(name: string): number {
     return this.processes.get(name)?.tracker.ageMilliseconds() ?? Number.NaN;
   }
@@ -168,7 +178,7 @@
   ): Promise<Result<KeyedPage, LogError>> {
     this.callCount += 1;
     if (reader.isCut) {
-      await this.clock.sleep(waitMilliseconds + CALL_TIMEOUT_MILLISECONDS);
+      await this.clock.sleep(STORE_MILLISECONDS);
       return Result.err({kind: 'unavailable', message: 'no response'});
     }
     await this.clock.sleep(STORE_MILLISECONDS / 2);
@@ -307,6 +317,8 @@
           this.tracker.confirm(sentAt + waited);
         };
       },
+      maximumBackoffMilliseconds: () =>
+        this.exchange.maximumBackoffMilliseconds,
       onFailure: () => (this.hasFailed = true),
     });
   }
@@ -356,10 +368,8 @@
   }
 
   private selectReaders(): readonly string[] {
-    const reported = this.known.filter(
-      other => other === this.name || this.fleet.isReported(other),
-    );
-    return selectReaders(reported, TOPIC);
+    const reported = this.known.filter(other => this.fleet.isReported(other));
+    return selectReaders(reported.length > 0 ? reported : this.known, TOPIC);
   }
 
   private findReaders(): readonly string[] {
--- a/packages/coordination/src/keep_registered/keep_registered.ts
+++ b/packages/coordination/src/keep_registered/keep_registered.ts
@@ -4,6 +4,7 @@
 import {computeBackoff} from '../_lib/backoff.js';
 import type {Clock} from '../clock/clock.js';
 import {
+  FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS,
   REGISTRATION_INTERVAL_MILLISECONDS,
   TOPIC_BACKOFF_MAXIMUM_MILLISECONDS,
 } from '../constants.js';
@@ -41,18 +42,21 @@
 ): Promise<void> {
   const {store, clock, random, signal} = options;
   let failures = 0;
+  let maximumBackoff = TOPIC_BACKOFF_MAXIMUM_MILLISECONDS;
   while (!signal.aborted) {
     const result = await store.write(topic, key, value, signal);
     if (result.isErr) {
       failures += 1;
       options.onFailure(result.error.message);
       await clock.sleep(
-        computeBackoff(failures, random, TOPIC_BACKOFF_MAXIMUM_MILLISECONDS),
+        computeBackoff(failures, random, maximumBackoff),
         signal,
       );
       continue;
     }
     failures = 0;
+    // Only the first registration is urgent.
+    maximumBackoff = FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS;
     await clock.sleep(
       REGISTRATION_INTERVAL_MILLISECONDS * (0.5 + random()),
       signal,
--- a/packages/daemon/src/machine/create_configuration_freshness.ts
+++ b/packages/daemon/src/machine/create_configuration_freshness.ts
@@ -23,7 +23,7 @@
 /** Components used by {@link createConfigurationFreshness}. */
 export interface FreshnessContext extends Pick<
   MachineState,
-  'storeState' | 'stalenessTracker'
+  'store' | 'storeState' | 'stalenessTracker'
 > {
   /** Returns the connection to the other gateways. */
   readonly mesh: () => GatewayMesh;
@@ -39,10 +39,17 @@
  */
 export function createConfigurationFreshness(
   {bounds, instance}: InstanceSettings,
-  {storeState, stalenessTracker, mesh, endpoints, logger}: FreshnessContext,
+  {
+    store,
+    storeState,
+    stalenessTracker,
+    mesh,
+    endpoints,
+    logger,
+  }: FreshnessContext,
 ): FreshnessExchange {
   const selectConfigurationReaders = () =>
-    selectReadersOf(OPERATORS_TOPIC, mesh());
+    selectReadersOf(OPERATORS_TOPIC, {mesh: mesh(), store});
   return new FreshnessExchange({
     clock: MONOTONIC_CLOCK,
     random: Math.random,
--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -2,8 +2,10 @@
  * Follows the topics that operators, endpoints and gateways write to the store.
  */
 import {
+  FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS,
   followKeyedTopic,
   SuspicionReplica,
+  TOPIC_BACKOFF_MAXIMUM_MILLISECONDS,
   type Clock,
   type StalenessTracker,
   type EndpointEntry,
@@ -109,6 +111,7 @@
   | 'onStoreRestored'
   | 'waitForNextRead'
   | 'longPollMilliseconds'
+  | 'maximumBackoffMilliseconds'
 >;
 
 /** Follows all topics in background tasks until the signal is aborted. */
@@ -185,6 +188,8 @@
     records.forEach(record => applyConfiguration(record, options));
   return {
     longPollMilliseconds: () => configurationFreshness.longPollMilliseconds,
+    maximumBackoffMilliseconds: () =>
+      configurationFreshness.maximumBackoffMilliseconds,
     waitForNextRead: signal => configurationFreshness.waitForNextRead(signal),
     onSnapshot: applyRecords,
     onRecords: applyRecords,
@@ -233,6 +238,10 @@
   const {endpoints, storeState} = options;
   return {
     longPollMilliseconds: () => ENDPOINTS_POLL_MILLISECONDS,
+    maximumBackoffMilliseconds: () =>
+      options.isReader()
+        ? TOPIC_BACKOFF_MAXIMUM_MILLISECONDS
+        : FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS,
     waitForNextRead: afterRecords(signal =>
       delayEndpointsRead(options, signal),
     ),
@@ -293,6 +302,7 @@
   };
   return {
     longPollMilliseconds: () => GATEWAYS_POLL_MILLISECONDS,
+    maximumBackoffMilliseconds: () => FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS,
     waitForNextRead: afterRecords(signal =>
       options.clock.sleep(GATEWAYS_BATCH_MILLISECONDS, signal),
     ),
@@ -315,6 +325,7 @@
   return {
     ...applyTopicTo(replica, logger),
     longPollMilliseconds: () => SUSPICIONS_POLL_MILLISECONDS,
+    maximumBackoffMilliseconds: () => FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS,
     waitForNextRead: afterRecords(signal =>
       clock.sleep(SUSPICIONS_BATCH_MILLISECONDS, signal),
     ),
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -109,23 +109,25 @@
     wallClockMilliseconds: () => Date.now(),
   });
   const storeCallLog = new StoreCallLog();
+  const store = new ObservedStore(new KeyedStore(settings.storeAddress), {
+    clock: MONOTONIC_CLOCK,
+    onCall: (topic, call) => {
+      storeCallLog.record(topic, call);
+      telemetry.metrics.countStoreCall(topic, call);
+    },
+  });
   const state: MachineState = {
     storeState,
     stalenessTracker,
+    store,
     configurationFreshness: createConfigurationFreshness(settings, {
+      store,
       storeState,
       stalenessTracker,
       mesh: () => mesh,
       endpoints: () => components.endpoints,
       logger: () => logger,
     }),
-    store: new ObservedStore(new KeyedStore(settings.storeAddress), {
-      clock: MONOTONIC_CLOCK,
-      onCall: (topic, call) => {
-        storeCallLog.record(topic, call);
-        telemetry.metrics.countStoreCall(topic, call);
-      },
-    }),
     abortController: new AbortController(),
     departures: new ExpiringList(
       MONOTONIC_CLOCK,
@@ -253,6 +255,7 @@
 ): void {
   const {clock, random, logger, endpoints, retryBudgets} = components;
   const {store, configurationFreshness} = state;
+  const {instance, ip} = settings;
   const {signal} = state.abortController;
   runTask('configuration_freshness', logger, () =>
     configurationFreshness.run(signal),
@@ -271,13 +274,13 @@
     suspicionTable: state.suspicionTable,
     gateway: settings.instance,
     isReader: () =>
-      selectReadersOf(ENDPOINTS_TOPIC, mesh).includes(mesh.gateway),
+      selectReadersOf(ENDPOINTS_TOPIC, {mesh, store}).includes(instance),
     receivedEndpointsAgeMilliseconds: () =>
       mesh.computeReceivedEndpointsAgeMilliseconds(),
     onEndpointsRead: () => (state.endpointsReadAt = clock.now()),
     onConfiguration: configuration => {
       gateway.applyLimits(configuration.limits);
-      if (selectReadersOf(OPERATORS_TOPIC, mesh).includes(mesh.gateway)) {
+      if (selectReadersOf(OPERATORS_TOPIC, {mesh, store}).includes(instance)) {
         mesh.broadcast();
       }
     },
@@ -286,7 +289,6 @@
       retryBudgets.setGatewayCount(gateways.length);
     },
   });
-  const {instance, ip} = settings;
   const registration = encodeGateway({
     gateway: instance,
     host: ip,
