Do not believe an unnamed refusal on a used connection

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran. It can happen here for idempotent calls if the refusal names no request: new test machine/kept_connections, 6 of 12 requests were answered 503 while the server ran them. Ruled out, green before: refusals that name their request, and calls that must not run twice, which use each connection once. Change: on a used connection, a refusal without a request identifier leaves the outcome unknown. After: 6 of 6 tests green; 232 tests of machine and forwarding pass.

--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -185,9 +185,11 @@
     const metadata = this.dialect.readResponse(response);
     const status = response.statusCode ?? 0;
     response.on('error', () => undefined);
+    // On a used connection, a refusal that names no request may be a repetition
+    // of an earlier one.
     const matchesRequest =
       metadata.requestId === undefined
-        ? metadata.isNotRun
+        ? metadata.isNotRun && !request.reusedSocket
         : metadata.requestId === attempt.requestId;
     if (!matchesRequest && attempt.requestId !== undefined) {
       request.destroy();
