Drop kept connections with stray bytes in all HTTP clients

Report of other operators: a second copy of an answer, late, on a kept connection. A copy that comes whole while the connection is idle is discarded by Node.js. Not covered: a copy that comes whole after the next request was written, where answers name no request (the store, the log).

--- a/packages/daemon/src/engine/engine_client.ts
+++ b/packages/daemon/src/engine/engine_client.ts
@@ -15,6 +15,7 @@
 
 import {Channel} from '../concurrency/channel.js';
 import {
+  GuardedAgent,
   parseJson,
   readBody,
   sendHttp,
@@ -54,7 +55,7 @@
 
 /** Sends requests to one engine. */
 export class EngineClient {
-  private readonly agent = new http.Agent({keepAlive: true});
+  private readonly agent = new GuardedAgent({keepAlive: true});
 
   /**
    * @param engineUrl - Base URL of the engine
--- a/packages/daemon/src/plain_service/call_plain_service.ts
+++ b/packages/daemon/src/plain_service/call_plain_service.ts
@@ -6,9 +6,13 @@
 import type {Header, ServiceAnswer, ServiceCall} from '@briarpin/messages';
 import type {Result} from 'true-myth';
 
-import {sendHttp, type HttpRequestError} from '@briarpin/platform';
+import {
+  GuardedAgent,
+  sendHttp,
+  type HttpRequestError,
+} from '@briarpin/platform';
 
-const KEEP_ALIVE_AGENT = new http.Agent({keepAlive: true});
+const KEEP_ALIVE_AGENT = new GuardedAgent({keepAlive: true});
 /**
  * Agent for calls that are not idempotent: a reused connection may be closed
  * before the service receives the call.
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -6,13 +6,13 @@
 import type {EndpointEntry} from '@briarpin/coordination';
 import {
   confirmResponseEnd,
+  GuardedAgent,
   trackResponseEnd,
   type BodyFraming,
 } from '@briarpin/platform';
 
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {ResponseMetadata, Dialect} from '../dialect/dialect.js';
-import {GuardedAgent} from '../guarded_agent/guarded_agent.js';
 import {
   PreconnectingAgent,
   type ConnectionTarget,
--- a/packages/platform/src/http_log/http_log.ts
+++ b/packages/platform/src/http_log/http_log.ts
@@ -1,8 +1,6 @@
 /**
  * Client for the platform's append-only log.
  */
-import http from 'node:http';
-
 import type {
   AppendOnlyLog,
   LogError,
@@ -11,6 +9,7 @@
 import {validateLogPage, type LogPage} from '@briarpin/messages';
 import {Result} from 'true-myth';
 
+import {GuardedAgent} from '../guarded_agent/guarded_agent.js';
 import {
   parseJson,
   sendHttp,
@@ -22,7 +21,7 @@
 
 /** Append-only log that is accessed over HTTP. */
 export class HttpLog implements AppendOnlyLog {
-  private readonly agent = new http.Agent({keepAlive: true});
+  private readonly agent = new GuardedAgent({keepAlive: true});
 
   /**
    * @param platformUrl - Base URL of the platform
--- a/packages/platform/src/read_members/read_members.ts
+++ b/packages/platform/src/read_members/read_members.ts
@@ -1,15 +1,14 @@
 /**
  * Reads the platform's membership list over HTTP.
  */
-import http from 'node:http';
-
 import {validateMemberList, type MemberList} from '@briarpin/messages';
 import {Result} from 'true-myth';
 
+import {GuardedAgent} from '../guarded_agent/guarded_agent.js';
 import {parseJson, sendHttp} from '../send_http/send_http.js';
 
 const CALL_TIMEOUT_MILLISECONDS = 2_000;
-const AGENT = new http.Agent({keepAlive: true});
+const AGENT = new GuardedAgent({keepAlive: true});
 
 /**
  * Reads the membership list once.
