--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -58,7 +58,7 @@
  * Maximum delay between failed reads of a topic that other processes read on
  * behalf of this one, and between failed calls that nothing waits for.
  */
-export const FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS = 2_000;
+export const RARE_RETRY_MILLISECONDS = 2_000;
 
 /**
  * Grace period after a store outage, during which running endpoints rewrite
--- a/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
+++ b/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
@@ -3,10 +3,9 @@
  */
 import type {Result} from 'true-myth';
 
-import {computeBackoff} from '../_lib/backoff.js';
+import {computeRetryDelay} from '../_lib/retry_delay.js';
 import type {LogError} from '../append_only_log/append_only_log.js';
 import type {Clock} from '../clock/clock.js';
-import {TOPIC_BACKOFF_MAXIMUM_MILLISECONDS} from '../constants.js';
 
 /** Newest record of a key. */
 export interface KeyedRecord {
@@ -100,10 +99,10 @@
    */
   readonly onStoreRestored?: () => void;
   /**
-   * Returns the maximum delay between failed reads once a snapshot has been
-   * read, in milliseconds; short by default.
+   * Returns true while a failed read is repeated soon and often, as by default;
+   * otherwise rarely, once a snapshot has been read.
    */
-  readonly maximumBackoffMilliseconds?: () => number;
+  readonly isUrgent?: () => boolean;
   /** Called for each failed read, except when records have been trimmed. */
   readonly onFailure: (error: LogError) => void;
 }
@@ -148,10 +147,10 @@
       failures += 1;
       options.onFailure(response.error);
       await clock.sleep(
-        computeBackoff(
+        computeRetryDelay(
           failures,
           options.random,
-          computeMaximumBackoff(options, isSnapshot),
+          isSnapshot || (options.isUrgent?.() ?? true),
         ),
         signal,
       );
@@ -178,13 +177,3 @@
     await options.waitForNextRead(signal, !isEmpty);
   }
 }
-
-/** A process without a snapshot always retries often. */
-function computeMaximumBackoff(
-  {maximumBackoffMilliseconds}: FollowKeyedTopicOptions,
-  isSnapshot: boolean,
-): number {
-  return isSnapshot || maximumBackoffMilliseconds === undefined
-    ? TOPIC_BACKOFF_MAXIMUM_MILLISECONDS
-    : maximumBackoffMilliseconds();
-}
--- a/packages/coordination/src/freshness_exchange/freshness_exchange.ts
+++ b/packages/coordination/src/freshness_exchange/freshness_exchange.ts
@@ -5,10 +5,6 @@
 
 import type {Clock} from '../clock/clock.js';
 import {WakeableSleep} from '../_lib/wakeable_sleep.js';
-import {
-  FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS,
-  TOPIC_BACKOFF_MAXIMUM_MILLISECONDS,
-} from '../constants.js';
 import type {StalenessTracker} from '../staleness_tracker/staleness_tracker.js';
 
 /** Time to wait for an answer before another reader is asked. */
@@ -88,22 +84,17 @@
     this.readSleep = new WakeableSleep(options.clock);
   }
 
+  /** True while this process reads the topic on behalf of all. */
+  get isReader(): boolean {
+    return this.options.isReader();
+  }
+
   /** Maximum time for which a read waits for a change, in milliseconds. */
   get longPollMilliseconds(): number {
     const {isReader, boundMilliseconds} = this.options;
     return isReader() ? boundMilliseconds * READER_POLL_SHARE : 0;
   }
 
-  /**
-   * Maximum delay between failed reads, in milliseconds. A process that is no
-   * reader learns from one that the topic can be read again.
-   */
-  get maximumBackoffMilliseconds(): number {
-    return this.options.isReader()
-      ? TOPIC_BACKOFF_MAXIMUM_MILLISECONDS
-      : FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS;
-  }
-
   /**
    * Asks a reader periodically until the signal is aborted: often while the own
    * copy is not recent, so that it is confirmed soon after the readers' own.
--- a/packages/coordination/src/freshness_exchange/simulated_fleet.ts
+++ b/packages/coordination/src/freshness_exchange/simulated_fleet.ts
@@ -317,8 +317,7 @@
           this.tracker.confirm(sentAt + waited);
         };
       },
-      maximumBackoffMilliseconds: () =>
-        this.exchange.maximumBackoffMilliseconds,
+      isUrgent: () => this.isReader,
       onFailure: () => (this.hasFailed = true),
     });
   }
--- a/packages/coordination/src/keep_registered/keep_registered.ts
+++ b/packages/coordination/src/keep_registered/keep_registered.ts
@@ -1,13 +1,9 @@
 /**
  * Registers a process in a keyed topic, where other processes discover it.
  */
-import {computeBackoff} from '../_lib/backoff.js';
+import {computeRetryDelay} from '../_lib/retry_delay.js';
 import type {Clock} from '../clock/clock.js';
-import {
-  FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS,
-  REGISTRATION_INTERVAL_MILLISECONDS,
-  TOPIC_BACKOFF_MAXIMUM_MILLISECONDS,
-} from '../constants.js';
+import {REGISTRATION_INTERVAL_MILLISECONDS} from '../constants.js';
 import type {KeyedTopicStore} from '../follow_keyed_topic/follow_keyed_topic.js';
 
 /** Options of {@link keepRegistered}. */
@@ -42,21 +38,17 @@
 ): Promise<void> {
   const {store, clock, random, signal} = options;
   let failures = 0;
-  let maximumBackoff = TOPIC_BACKOFF_MAXIMUM_MILLISECONDS;
+  let isFirst = true;
   while (!signal.aborted) {
     const result = await store.write(topic, key, value, signal);
     if (result.isErr) {
       failures += 1;
       options.onFailure(result.error.message);
-      await clock.sleep(
-        computeBackoff(failures, random, maximumBackoff),
-        signal,
-      );
+      await clock.sleep(computeRetryDelay(failures, random, isFirst), signal);
       continue;
     }
     failures = 0;
-    // Only the first registration is urgent.
-    maximumBackoff = FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS;
+    isFirst = false;
     await clock.sleep(
       REGISTRATION_INTERVAL_MILLISECONDS * (0.5 + random()),
       signal,
--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -2,10 +2,8 @@
  * Follows the topics that operators, endpoints and gateways write to the store.
  */
 import {
-  FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS,
   followKeyedTopic,
   SuspicionReplica,
-  TOPIC_BACKOFF_MAXIMUM_MILLISECONDS,
   type Clock,
   type StalenessTracker,
   type EndpointEntry,
@@ -111,7 +109,7 @@
   | 'onStoreRestored'
   | 'waitForNextRead'
   | 'longPollMilliseconds'
-  | 'maximumBackoffMilliseconds'
+  | 'isUrgent'
 >;
 
 /** Follows all topics in background tasks until the signal is aborted. */
@@ -188,8 +186,7 @@
     records.forEach(record => applyConfiguration(record, options));
   return {
     longPollMilliseconds: () => configurationFreshness.longPollMilliseconds,
-    maximumBackoffMilliseconds: () =>
-      configurationFreshness.maximumBackoffMilliseconds,
+    isUrgent: () => configurationFreshness.isReader,
     waitForNextRead: signal => configurationFreshness.waitForNextRead(signal),
     onSnapshot: applyRecords,
     onRecords: applyRecords,
@@ -238,10 +235,7 @@
   const {endpoints, storeState} = options;
   return {
     longPollMilliseconds: () => ENDPOINTS_POLL_MILLISECONDS,
-    maximumBackoffMilliseconds: () =>
-      options.isReader()
-        ? TOPIC_BACKOFF_MAXIMUM_MILLISECONDS
-        : FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS,
+    isUrgent: options.isReader,
     waitForNextRead: afterRecords(signal =>
       delayEndpointsRead(options, signal),
     ),
@@ -302,7 +296,7 @@
   };
   return {
     longPollMilliseconds: () => GATEWAYS_POLL_MILLISECONDS,
-    maximumBackoffMilliseconds: () => FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS,
+    isUrgent: () => false,
     waitForNextRead: afterRecords(signal =>
       options.clock.sleep(GATEWAYS_BATCH_MILLISECONDS, signal),
     ),
@@ -325,7 +319,7 @@
   return {
     ...applyTopicTo(replica, logger),
     longPollMilliseconds: () => SUSPICIONS_POLL_MILLISECONDS,
-    maximumBackoffMilliseconds: () => FOLLOWER_BACKOFF_MAXIMUM_MILLISECONDS,
+    isUrgent: () => false,
     waitForNextRead: afterRecords(signal =>
       clock.sleep(SUSPICIONS_BATCH_MILLISECONDS, signal),
     ),
