--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -353,6 +353,14 @@
     to: 'if (true)',
     test: 'machine/broken_streams',
   },
+  {
+    promise: 'an unexpected error ends one request only',
+    mechanism: 'a handler that throws has its connection closed',
+    file: 'packages/forwarding/dist/caller_server/caller_server.js',
+    from: 'this.endFailedRequest(open, error);',
+    to: 'throw error;',
+    test: 'forwarding/dist/caller_server',
+  },
   {
     promise: 'a refusal belongs to the request that it answers',
     mechanism: 'an unnamed refusal on a used connection proves nothing',
