Survive malformed numbers in entries and headers

It can happen here: an entry of another writer in the store with Slots 2.5, Seq -1 or born 1.5, or a caller that states 1e300 tokens, made the report to the other gateways impossible to encode; the process ended with an unhandled rejection, and every gateway that reads the entry with it. Before: machine/malformed_entries red at the first entry, machine/malformed_requests 2 of 4 red (process ended: invalid uint32). Ruled out: calls; ports past 65535. After: both green; 58 tests of dialect, decoders, streams and mesh pass.

--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -39,6 +39,9 @@
 /** Limit of a request body until a configuration sets one. */
 const DEFAULT_MAXIMUM_BODY_BYTES = 1_048_576;
 
+/** Largest value of a field of 32 bits. */
+const MAXIMUM_REPORTED_TOKENS = 2 ** 32 - 1;
+
 /** Options of {@link ForwardingGateway}. */
 export interface ForwardingGatewayOptions {
   /** Returns the current configuration and its age. */
@@ -101,8 +104,8 @@
     return [...this.context.loads.localWork].map(([endpoint, work]) => ({
       endpoint,
       requests: work.requests,
-      tokens: Math.round(work.tokens),
-      promptTokens: Math.round(work.promptTokens),
+      tokens: toReportedTokens(work.tokens),
+      promptTokens: toReportedTokens(work.promptTokens),
       movableRuns: movable.get(endpoint) ?? 0,
     }));
   }
@@ -270,3 +273,8 @@
     });
   }
 }
+
+/** Rounds tokens, and limits them to the field of the message. */
+function toReportedTokens(tokens: number): number {
+  return Math.min(MAXIMUM_REPORTED_TOKENS, Math.round(tokens));
+}
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
@@ -267,20 +267,34 @@
       .forEach(peer => this.sendMessageTo(peer, kind, message));
   }
 
-  /** Sends a report to all peers immediately. */
+  /**
+   * Sends a report to all peers immediately. One that cannot be encoded is
+   * logged and left out; the next one may be encoded again.
+   */
   broadcast(): void {
+    let message: Uint8Array;
+    try {
+      message = this.encodeReport();
+    } catch (error) {
+      const text = error instanceof Error ? error.message : String(error);
+      this.options.logger.error('gateway_news_not_sent', {message: text});
+      return;
+    }
+    for (const {host, port} of this.findPeers()) {
+      this.socket.send(message, port, host);
+    }
+  }
+
+  private encodeReport(): Uint8Array {
     this.sequence += 1;
     const report = this.options.createReport();
-    const message = GatewayNews.encode({
+    return GatewayNews.encode({
       ...report,
       gateway: this.options.gateway,
       startedAt: this.options.startedAt,
       sequence: this.sequence,
       work: report.work.slice(0, MAXIMUM_WORK_ENTRIES),
     }).finish();
-    for (const {host, port} of this.findPeers()) {
-      this.socket.send(message, port, host);
-    }
   }
 
   private findPeers(): GatewayPeer[] {
