Test the limits of numbers in headers at the decoder

With one gateway the limit of sums also covers them, so that taking the first limit out left machine/malformed_requests green; origins of streams go to other gateways only.

--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -361,6 +361,22 @@
     to: 'throw error;',
     test: 'forwarding/dist/caller_server',
   },
+  {
+    promise: 'an unexpected error ends one request only',
+    mechanism: 'numbers of entries are limited to the fields of reports',
+    file: 'platform/dist/decode_endpoint/decode_endpoint.js',
+    from: 'Math.max(0, record.ColdRemainingMs ?? 0)',
+    to: 'record.ColdRemainingMs ?? 0',
+    test: 'machine/malformed_entries',
+  },
+  {
+    promise: 'an unexpected error ends one request only',
+    mechanism: 'numbers of headers are limited to the fields of messages',
+    file: 'platform/dist/request_dialect/request_dialect.js',
+    from: 'Math.min(value, MAXIMUM_NUMBER)',
+    to: 'value',
+    test: 'request_dialect',
+  },
   {
     promise: 'a refusal belongs to the request that it answers',
     mechanism: 'an unnamed refusal on a used connection proves nothing',
