--- a/review/stand_ins/server.mjs
+++ b/review/stand_ins/server.mjs
@@ -110,9 +110,6 @@
 async function handle(request, response) {
   const body = await readBody(request);
   const id = request.headers['x-briarpin-request-id'];
-  if (isLeaving) {
-    response.setHeader('Server-Leaving', '1');
-  }
   if (request.url === '/briarpin/report') {
     sendJson(response, 200, createReport());
     return;
@@ -123,6 +120,7 @@
   }
   if (request.headers['x-briarpin-expect-instance'] !== options.id) {
     tell('misdirected', {id});
+    tellOfLeaving(response);
     response.writeHead(421, {'X-Briarpin-Instance-Id': options.id});
     response.end();
     return;
@@ -146,12 +144,20 @@
     /slow-(\d+)/.exec(request.url)?.[1] ?? options.answerMilliseconds,
   );
   setTimeout(() => {
+    tellOfLeaving(response);
     response.writeHead(200, {'Content-Type': 'text/plain'});
     response.end(`${options.id} ran ${id}`);
     tell('answered', {id, isLeaving});
   }, delay);
 }
 
+/** A server that leaves says so in all its answers. */
+function tellOfLeaving(response) {
+  if (isLeaving) {
+    response.setHeader('Server-Leaving', '1');
+  }
+}
+
 function countTokens() {
   return [...tokensById.values()].reduce((sum, tokens) => sum + tokens, 0);
 }
@@ -206,12 +212,14 @@
 }
 
 function sendJson(response, status, value) {
+  tellOfLeaving(response);
   response.writeHead(status, {'Content-Type': 'application/json'});
   response.end(JSON.stringify(value));
 }
 
 function sendEvents(id, promptTokens, response) {
   tokensById.set(id, promptTokens);
+  tellOfLeaving(response);
   response.writeHead(200, {'Content-Type': 'text/event-stream'});
   response.flushHeaders();
   let sent = 0;
--- a/review/stand_ins/store.mjs
+++ b/review/stand_ins/store.mjs
@@ -52,6 +52,7 @@
     this.onRecord = onRecord;
     this.topics = new Map();
     this.heartbeatAt = new Map();
+    this.lateWrites = new Map();
     this.server = http.createServer((request, response) => {
       this.handle(request, response).catch(() => response.destroy());
     });
@@ -89,6 +90,17 @@
     this.findTopic(topicName).append(key, value);
   }
 
+  /**
+   * Makes the next write of a server's entry get no answer and be done later.
+   *
+   * @returns Resolves when the write has arrived
+   */
+  delayNextEntry(key, milliseconds) {
+    return new Promise(resolve =>
+      this.lateWrites.set(key, {milliseconds, onArrival: resolve}),
+    );
+  }
+
   findTopic(name) {
     const topic = this.topics.get(name) ?? new Topic();
     this.topics.set(name, topic);
@@ -116,7 +128,19 @@
     switch (url.pathname) {
       case '/briarpin/log-append': {
         const first = topic.records.length;
-        for (const {key, value} of decodeRecords(body)) {
+        const records = decodeRecords(body);
+        const late = this.lateWrites.get(records[0]?.key);
+        if (topicName === ENDPOINTS_TOPIC && late !== undefined) {
+          const [{key, value}] = records;
+          this.lateWrites.delete(key);
+          setTimeout(
+            () => this.append(topicName, key, value),
+            late.milliseconds,
+          );
+          late.onArrival();
+          return;
+        }
+        for (const {key, value} of records) {
           this.append(topicName, key, value);
         }
         sendJson(response, {Offset: first, End: topic.records.length});
