--- a/review/stand_ins/server.mjs
+++ b/review/stand_ins/server.mjs
@@ -12,6 +12,8 @@
 
 import {encodeRecord} from './store.mjs';
 
+const ENDLESS_EVENT_TICK_MILLISECONDS = 10;
+
 const options = {
   zone: 'east-1',
   heartbeatMilliseconds: 1_200,
@@ -20,6 +22,11 @@
   eventMilliseconds: 100,
   /** `chunks`, or `connection` for answers without a length. */
   framing: 'chunks',
+  /** Share of the answers to calls that are spoilt while `spoils` is in force. */
+  spoiltShare: 0,
+  /** Bytes of an event with which a stream is spoilt, in all and in 10 ms. */
+  endlessEventBytes: 48_000_000,
+  endlessEventBytesPerTick: 125_000,
   /** Memory of an engine, in tokens. */
   memoryTokens: 34_319,
   tokensPerEvent: 4,
@@ -30,6 +37,9 @@
 let state = 'ready';
 let isRegistered = true;
 let isLeaving = false;
+let spoils = false;
+let callCount = 0;
+let streamCount = 0;
 let heartbeatTimer;
 /** Tokens in memory of the streams that run, by request. */
 const tokensById = new Map();
@@ -58,6 +68,12 @@
       clearInterval(heartbeatTimer);
       append(Buffer.alloc(0));
       return;
+    case 'spoil':
+      spoils = true;
+      return;
+    case 'spoil_no_more':
+      spoils = false;
+      return;
     case 'end':
       process.exit(0);
   }
@@ -143,7 +159,15 @@
   const delay = Number(
     /slow-(\d+)/.exec(request.url)?.[1] ?? options.answerMilliseconds,
   );
+  callCount += 1;
+  const isSpoilt =
+    spoils && callCount % Math.round(1 / options.spoiltShare) === 0;
   setTimeout(() => {
+    if (isSpoilt) {
+      tell('spoils', {id});
+      spoil(request.socket);
+      return;
+    }
     tellOfLeaving(response);
     response.writeHead(200, {'Content-Type': 'text/plain'});
     response.end(`${options.id} ran ${id}`);
@@ -158,6 +182,14 @@
   }
 }
 
+/** Sends bytes that are no answer, and keeps the connection open. */
+function spoil(socket) {
+  socket.write(
+    'HTTP/1.1 101 Switching Protocols\r\n' +
+      'Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n',
+  );
+}
+
 function countTokens() {
   return [...tokensById.values()].reduce((sum, tokens) => sum + tokens, 0);
 }
@@ -217,11 +249,32 @@
   response.end(JSON.stringify(value));
 }
 
+/** Begins an event that does not end, a tenth of a link's bandwidth wide. */
+function sendEndlessEvent(id, response) {
+  tell('spoils', {id});
+  const chunk = Buffer.alloc(options.endlessEventBytesPerTick, 'a');
+  let remaining = options.endlessEventBytes;
+  response.write('id: 1\ndata: ');
+  const timer = setInterval(() => {
+    response.write(chunk);
+    remaining -= chunk.length;
+    if (remaining <= 0) {
+      response.destroy();
+    }
+  }, ENDLESS_EVENT_TICK_MILLISECONDS);
+  response.once('close', () => clearInterval(timer));
+}
+
 function sendEvents(id, promptTokens, response) {
   tokensById.set(id, promptTokens);
   tellOfLeaving(response);
   response.writeHead(200, {'Content-Type': 'text/event-stream'});
   response.flushHeaders();
+  streamCount += 1;
+  if (spoils && streamCount % Math.round(1 / options.spoiltShare) === 0) {
+    sendEndlessEvent(id, response);
+    return;
+  }
   let sent = 0;
   const timer = setInterval(() => {
     sent += 1;
