--- a/review/stand_ins/server.mjs
+++ b/review/stand_ins/server.mjs
@@ -271,7 +271,8 @@
   response.writeHead(200, {'Content-Type': 'text/event-stream'});
   response.flushHeaders();
   streamCount += 1;
-  if (spoils && streamCount % Math.round(1 / options.spoiltShare) === 0) {
+  const interval = Math.round(1 / options.spoiltShare);
+  if (spoils && streamCount % interval === Math.floor(interval / 2)) {
     sendEndlessEvent(id, response);
     return;
   }
