Show that a machine that comes back accepts a key that was taken away

Seen: it confirms its copy after the first page of a read, and runs 1 to 5 requests with the key 6.8 to 8 s after it was taken away; none with TROUBLE=0.

--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,85 +1,126 @@
 /**
- * A model server is gone two seconds after its notice. The streams that it sends
- * without a length end early, and the gateway ends them as complete.
+ * A gateway is cut off from the store for nine seconds, while a key is taken away
+ * and the configuration changes often. When it is back, it accepts the key.
  */
-import {createConfiguration, runCase, sleep} from '../stand_ins/deployment.mjs';
+import {
+  createConfiguration,
+  createRoute,
+  runCase,
+  sleep,
+} from '../stand_ins/deployment.mjs';
+import {Proxy} from '../stand_ins/proxy.mjs';
 
-/** One of six leaves: the share of 0.17 of the site's days. */
-const ENGINES = 6;
-/** As many as fill the memory of all engines with prompts of 3,200 tokens. */
-const STREAMS = 60;
-const EVENTS = 80;
-const NOTICE_MILLISECONDS = 2_000;
+/** One of four machines is cut off for 9 s: less than the share of 0.35. */
+const GATEWAYS = 4;
+const CUT_MILLISECONDS = 9_000;
+/** Two times `big_config` with 350 routes. */
+const MORE_ROUTES = 700;
+/** `config_storm`, two times: 4 s each, every 0.33 s. */
+const STORM_VERSIONS = 12;
+const STORM_INTERVAL_MILLISECONDS = 330;
+const REVOKE_MILLISECONDS = 5_000;
+const REQUEST_INTERVAL_MILLISECONDS = 15;
+
+const KEPT = {Name: 'quilters', ApiKeys: ['key-1'], Priority: 1};
+const BOTH = {...KEPT, ApiKeys: ['key-1', 'key-2']};
+const BASE = createConfiguration();
+const ROUTES = [
+  ...BASE.Routes,
+  ...Array.from({length: MORE_ROUTES}, (_, index) =>
+    createRoute(`more-${index}`, {
+      Type: 'idempotent',
+      Service: 'desk',
+      MaxAttempts: 2,
+      Sticky: false,
+      Resumable: false,
+    }),
+  ),
+];
+
+let version = BASE.Version;
 
 await runCase(
   import.meta.url,
-  createConfiguration(),
+  {...BASE, Routes: ROUTES, Tenants: [BOTH]},
   async (deployment, hasTrouble) => {
-    const copiesNotPlayed = [];
-    for (let index = 1; index <= ENGINES; index += 1) {
-      await deployment.startServer(
-        {
-          id: `pen-${index}`,
-          service: 'pen',
-          events: EVENTS,
-          framing: 'connection',
-        },
-        message => {
-          if (message.kind === 'copy_not_played') {
-            copiesNotPlayed.push(message);
-          }
-        },
-      );
+    for (const id of ['desk-1', 'desk-2', 'desk-3']) {
+      await deployment.startServer({id, service: 'desk'});
     }
-    const gateway = await deployment.startGateway('front-1');
-    await deployment.startGateway('front-2');
-    const streams = [];
-    for (let index = 0; index < STREAMS; index += 1) {
-      streams.push(
-        deployment.send(gateway, {
-          method: 'POST',
-          requestPath: '/text/lot',
-          deadline: 39_000,
-          headers: {
-            'X-Briarpin-Model': 'm',
-            'X-Briarpin-Token-Counts': '3200,320',
-            'X-Briarpin-Prompt-Prefix': `a1:100,${index + 16}f:3100`,
-          },
-        }),
-      );
-      await sleep(15);
+    const proxy = new Proxy(deployment.storePort);
+    const port = await proxy.listen();
+    const gateway = await deployment.startGateway('front-1', port);
+    for (let index = 2; index <= GATEWAYS; index += 1) {
+      await deployment.startGateway(`front-${index}`);
     }
-    await sleep(1_000);
-    const leaving = deployment.servers.get('pen-1');
-    deployment.record('pen-1 gets its notice');
-    leaving.order('drain');
-    await sleep(NOTICE_MILLISECONDS);
+    await sleep(5_000);
     if (hasTrouble) {
-      deployment.record('pen-1 is gone');
-      leaving.child.kill('SIGKILL');
+      deployment.record('front-1 is cut off from the store');
+      proxy.cut();
     }
-    const answers = await Promise.all(streams);
-    if (copiesNotPlayed.length > 0) {
-      throw new Error('an engine had room for a copy');
+    const healsAt = deployment.now() + CUT_MILLISECONDS;
+    let tenants = [BOTH];
+    let revokedAt;
+    for (let index = 0; index < 2 * STORM_VERSIONS; index += 1) {
+      if (index === 8) {
+        tenants = [KEPT];
+      }
+      writeConfiguration(deployment, tenants);
+      if (index === 8) {
+        revokedAt = deployment.now();
+        deployment.record('store: key-2 is taken away');
+      }
+      await sleep(STORM_INTERVAL_MILLISECONDS);
     }
-    const early = answers.filter(
-      ({status, isComplete, body}) =>
-        status === 200 && isComplete && countEvents(body) < EVENTS,
+    await sleep(Math.max(0, healsAt - deployment.now()));
+    proxy.heal();
+    deployment.record('front-1 reaches the store again');
+    const answers = await sendWithKey(deployment, gateway);
+    const ran = new Set(
+      [...deployment.servers.values()].flatMap(({runs}) =>
+        runs.map(({id}) => id),
+      ),
     );
-    const broken = answers.filter(({isComplete}) => !isComplete);
-    for (const {id, body} of early) {
+    const late = answers.filter(
+      ({id, sentAt}) => ran.has(id) && sentAt > revokedAt + REVOKE_MILLISECONDS,
+    );
+    for (const {id, sentAt, status} of late) {
+      const seconds = ((sentAt - revokedAt) / 1_000).toFixed(3);
       deployment.record(
-        `${id} ended as complete after ${countEvents(body)} of ${EVENTS} events`,
+        `${id}, sent with key-2 ${seconds} s after it was taken away, ran and ` +
+          `ended with ${status}`,
       );
     }
     deployment.record(
-      `${answers.length} streams: ${early.length} ended as complete before ` +
-        `their last event, ${broken.length} were broken off`,
+      `${answers.length} requests with key-2: ${late.length} ran`,
     );
-    return early.length === 0;
+    return late.length === 0;
   },
 );
 
-function countEvents(body) {
-  return body.split('\n\n').length - 1;
+/** Writes the next version: one route gets another time-out. */
+function writeConfiguration(deployment, tenants) {
+  version += 3;
+  const [first, ...rest] = ROUTES;
+  deployment.store.put('keyed.op', 'config', {
+    ...BASE,
+    Version: version,
+    Routes: [{...first, TimeoutMs: 1_000 + version}, ...rest],
+    Tenants: tenants,
+  });
+}
+
+/** Sends requests with the key that was taken away, for four seconds. */
+async function sendWithKey(deployment, gateway) {
+  const pending = [];
+  const endsAt = deployment.now() + 4_000;
+  while (deployment.now() < endsAt) {
+    pending.push(
+      deployment.send(gateway, {
+        requestPath: '/stock/indigo',
+        headers: {Authorization: 'Token key-2'},
+      }),
+    );
+    await sleep(REQUEST_INTERVAL_MILLISECONDS);
+  }
+  return Promise.all(pending);
 }
--- a/review/stand_ins/deployment.mjs
+++ b/review/stand_ins/deployment.mjs
@@ -118,15 +118,20 @@
     return server;
   }
 
-  /** Starts a gateway with the command of the deploy file. */
-  async startGateway(name) {
+  /**
+   * Starts a gateway with the command of the deploy file.
+   *
+   * @param {string} name - Name of its machine
+   * @param {number} storePort - Port at which it reaches the store
+   */
+  async startGateway(name, storePort = this.storePort) {
     const ports = {
       front: await findTcpPort(),
       ready: await findTcpPort(),
       internal: await findInternalPort(),
     };
     const file = path.join(this.folder, `${name}.conf`);
-    writeFileSync(file, this.createSettings(name, ports));
+    writeFileSync(file, this.createSettings(name, ports, storePort));
     const [program, ...words] = readRunCommand();
     const child = spawn(program, words, {
       cwd: ROOT,
@@ -152,7 +157,7 @@
     return gateway;
   }
 
-  createSettings(name, {front, ready, internal}) {
+  createSettings(name, {front, ready, internal}, storePort) {
     return [
       `Node=${name}`,
       'Role=gateway',
@@ -177,7 +182,7 @@
       'Bounds.RetryBudgetRatio=0.2',
       'Bounds.BudgetWindowS=10',
       'Bounds.RetryBudgetSlack=54',
-      `Platform.Address=127.0.0.1:${this.storePort}`,
+      `Platform.Address=127.0.0.1:${storePort}`,
       'Platform.form=log',
       '',
     ].join('\n');
--- a/review/stand_ins/store.mjs
+++ b/review/stand_ins/store.mjs
@@ -19,6 +19,9 @@
 const LENGTH_BYTES = 4;
 const MAXIMUM_PAGE_ITEMS = 500;
 
+/** Largest page of records that a read returns (`MaxKb`). */
+const DEFAULT_PAGE_KILOBYTES = 1_024;
+
 /** One topic: its records, and the newest value of each key. */
 class Topic {
   constructor() {
@@ -182,9 +185,18 @@
   }
   const header = Buffer.alloc(PAGE_HEADER_BYTES);
   header.writeBigUInt64BE(BigInt(topic.records.length), 0);
-  response.end(
-    Buffer.concat([header, ...topic.records.slice(from).map(encodeRecord)]),
-  );
+  const limit = Number(query.get('MaxKb') ?? DEFAULT_PAGE_KILOBYTES) * 1_024;
+  const page = [];
+  let size = 0;
+  for (const record of topic.records.slice(from)) {
+    const encoded = encodeRecord(record);
+    size += encoded.length;
+    if (page.length > 0 && size > limit) {
+      break;
+    }
+    page.push(encoded);
+  }
+  response.end(Buffer.concat([header, ...page]));
 }
 
 function sendNewest(response, topic, after) {
