Confirm a copy only when the last page of a topic has been read

Cause: the end of the log that each page states was dropped, and every page confirmed that everything written before the read was known.

Evidence: versions rise one by one in the log, so that no older configuration is looked up; in virtual time, with all processes cut off, copies are claimed to be current in the middle of the pages (falseClaims), so that a read does it and no message of others.

Change: pages say whether more follows; only the last one confirms, and the next is read at once. The like of it: endpoints were given up, and reported as read, in the middle of the pages; the product's own replica was current after any page, and counted its age from the response.

Why it works: the age of a copy, which decides on keys and which other gateways are told, is set by nothing but a read that reached the end of the log.

--- a/packages/coordination/src/configuration_replica/configuration_replica.test.ts
+++ b/packages/coordination/src/configuration_replica/configuration_replica.test.ts
@@ -100,6 +100,50 @@
     });
   });
 
+  describe('when the log returns its records in pages', () => {
+    // Guards against a replica that takes an old table for current, since the
+    // first page after an outage seems to be all.
+    it('is current only once no record is left', async () => {
+      const fixture = new Fixture();
+      const {log, clock} = fixture;
+      ['a', 'b', 'c'].forEach(key => fixture.append(key, 1));
+      log.maximumPageRecords = 2;
+      const read = log.read.bind(log);
+      let reads = 0;
+      log.read = (...parameters) => {
+        reads += 1;
+        log.outage = reads === 2;
+        return read(...parameters);
+      };
+      const replica = fixture.startReplica();
+      await clock.advance(1);
+      assert.equal(replica.table.get('b'), 1);
+      assert.equal(replica.stalenessMilliseconds, Number.POSITIVE_INFINITY);
+      await clock.advance(5_000);
+      assert.equal(replica.table.get('c'), 1);
+      assert.ok(replica.stalenessMilliseconds <= 1_000);
+      fixture.abortController.abort();
+    });
+
+    it('counts its age from the read, not from a late response', async () => {
+      const fixture = new Fixture();
+      const {log, clock} = fixture;
+      fixture.append('a', 1);
+      const replica = fixture.startReplica();
+      await clock.advance(100);
+      const read = log.read.bind(log);
+      log.read = async (...parameters) => {
+        const page = await read(...parameters);
+        await clock.sleep(1_500);
+        return page;
+      };
+      await clock.advance(3_500);
+      const responseMilliseconds = replica.stalenessMilliseconds;
+      assert.ok(responseMilliseconds >= 1_500, `${responseMilliseconds} ms`);
+      fixture.abortController.abort();
+    });
+  });
+
   describe('when the log has trimmed its first records', () => {
     it('is not ready from the remaining records alone', async () => {
       const fixture = new Fixture();
--- a/packages/coordination/src/configuration_replica/configuration_replica.ts
+++ b/packages/coordination/src/configuration_replica/configuration_replica.ts
@@ -97,7 +97,7 @@
       longPollMilliseconds,
       signal,
       position: () => this.nextOffset,
-      onPage: page => this.applyPage(page),
+      onPage: (page, currentAt) => this.applyPage(page, currentAt),
       onTrimmed: earliest => this.handleTrim(earliest),
       waitBeforeRead: () => this.waitUntilReadNeeded(signal),
     });
@@ -191,9 +191,11 @@
     }
   }
 
-  private applyPage(page: LogPage): void {
+  private applyPage(page: LogPage, currentAt: number | undefined): void {
     const before = this.table.version;
-    this.recordStaleness(0);
+    if (currentAt !== undefined) {
+      this.recordStaleness(this.options.clock.now() - currentAt);
+    }
     this.hasReachedEnd ||= page.records.length === 0;
     for (const record of page.records) {
       this.processRecord(record);
--- a/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.test.ts
+++ b/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.test.ts
@@ -50,7 +50,12 @@
 }
 
 function page(next: number, ...keys: string[]): StoreResponse {
-  return Result.ok({records: keys.map(key => ({key})), next});
+  return Result.ok({records: keys.map(key => ({key})), next, hasMore: false});
+}
+
+/** A page that ends before the end of the topic. */
+function partialPage(next: number, ...keys: string[]): StoreResponse {
+  return Result.ok({records: keys.map(key => ({key})), next, hasMore: true});
 }
 
 async function follow(responses: StoreResponse[]) {
@@ -124,4 +129,43 @@
       'from 4 waiting 500',
     ]);
   });
+
+  // Guards against a process that takes an old copy for current when more was
+  // written than fits into a page, and accepts a key that was taken away.
+  it('confirms nothing before the end of the topic and reads on at once', async () => {
+    const {events, reads} = await follow([
+      page(4),
+      partialPage(5, 'a'),
+      partialPage(6, 'b'),
+      page(7, 'c'),
+    ]);
+    assert.deepEqual(events, ['all ', 'confirmed', 'a', 'b', 'c', 'confirmed']);
+    assert.deepEqual(reads.slice(1), [
+      'from 4 waiting 500',
+      'from 5 waiting 0',
+      'from 6 waiting 0',
+      'from 7 waiting 500',
+    ]);
+  });
+
+  it('confirms the end of the topic after a failure between two pages', async () => {
+    const {events, reads} = await follow([
+      page(4),
+      partialPage(5, 'a'),
+      UNAVAILABLE,
+      page(6, 'b'),
+    ]);
+    assert.deepEqual(events, [
+      'all ',
+      'confirmed',
+      'a',
+      'unavailable',
+      'b',
+      'confirmed',
+    ]);
+    assert.deepEqual(reads.slice(2, 4), [
+      'from 5 waiting 0',
+      'from 5 waiting 0',
+    ]);
+  });
 });
--- a/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
+++ b/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
@@ -19,6 +19,11 @@
   readonly records: readonly KeyedRecord[];
   /** Offset to read next. */
   readonly next: number;
+  /**
+   * True when the store held more records that follow these, so that the page
+   * does not contain everything that was written before the read.
+   */
+  readonly hasMore: boolean;
   /**
    * Rises each time the store has returned from an older copy of its contents.
    * Offsets of different eras cannot be compared. Absent if the store states
@@ -85,12 +90,16 @@
   ) => Promise<void>;
   /** Receives the records of all keys; keys without a record were removed. */
   readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
-  /** Receives records in order; later records of a key replace earlier ones. */
+  /**
+   * Receives records in order; later records of a key replace earlier ones. More
+   * may follow that were written before the read.
+   */
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
   /**
-   * Called before each read. The returned function is called after a successful
-   * read has been applied, with the time that the store waited without a new
-   * record, in milliseconds.
+   * Called before each read. The returned function is called when everything that
+   * was written before the read has been applied, with the time that the store
+   * waited without a new record, in milliseconds; not after a page that more
+   * records follow.
    */
   readonly onReadStart: () => (waitedMilliseconds: number) => void;
   /**
@@ -125,13 +134,14 @@
   let position: number | undefined;
   let era: number | undefined;
   let failures = 0;
+  let hasMore = false;
   while (!signal.aborted) {
     const confirm = options.onReadStart();
     const isSnapshot = position === undefined;
-    // After a failure, the next read does not wait for records, so that the
-    // current state is confirmed without delay.
-    const waitMilliseconds =
-      failures === 0 ? options.longPollMilliseconds() : 0;
+    // After a failure, and in the middle of a topic, the next read does not wait
+    // for records, so that the current state is confirmed without delay.
+    const waitMilliseconds: number =
+      failures === 0 && !hasMore ? options.longPollMilliseconds() : 0;
     const response: Result<KeyedPage, LogError> =
       position === undefined
         ? await store.readNewest(topic, signal)
@@ -165,14 +175,17 @@
     if (hasNewEra && era !== undefined) {
       options.onStoreRestored?.();
     }
-    era = response.value.era;
-    position = response.value.next;
+    const page: KeyedPage = response.value;
+    ({era, next: position, hasMore} = page);
     if (isSnapshot) {
-      options.onSnapshot(response.value.records);
+      options.onSnapshot(page.records);
     } else {
-      options.onRecords(response.value.records);
+      options.onRecords(page.records);
+    }
+    if (hasMore) {
+      continue;
     }
-    const isEmpty = response.value.records.length === 0;
+    const isEmpty = page.records.length === 0;
     confirm(isEmpty && !isSnapshot ? waitMilliseconds : 0);
     await options.waitForNextRead(signal, !isEmpty);
   }
--- a/packages/coordination/src/follow_log/follow_log.ts
+++ b/packages/coordination/src/follow_log/follow_log.ts
@@ -18,8 +18,13 @@
   readonly signal: AbortSignal;
   /** Returns the offset to read next. */
   readonly position: () => number;
-  /** Receives a page of records; must move the position. */
-  readonly onPage: (page: LogPage) => void;
+  /**
+   * Receives a page of records; must move the position.
+   *
+   * @param currentAt - Time at which no other record existed; undefined if more
+   *   may exist, as after a page that holds records
+   */
+  readonly onPage: (page: LogPage, currentAt: number | undefined) => void;
   /** Called when records before `earliest` are gone; must move the position. */
   readonly onTrimmed: (earliest: number) => void;
   /** Resolves when the next read is needed; if absent, it starts at once. */
@@ -45,10 +50,12 @@
 ): Promise<void> {
   const {log, clock, signal} = options;
   let failures = 0;
+  let waitMilliseconds = options.longPollMilliseconds;
   while (!signal.aborted) {
     await options.waitBeforeRead?.();
+    const sentAt = clock.now();
     const result = await log.read(stream, options.position(), {
-      waitMilliseconds: options.longPollMilliseconds,
+      waitMilliseconds,
       signal,
     });
     if (signal.aborted) {
@@ -56,7 +63,13 @@
     }
     if (result.isOk) {
       failures = 0;
-      options.onPage(result.value);
+      const isEnd = result.value.records.length === 0;
+      options.onPage(
+        result.value,
+        isEnd ? Math.min(clock.now(), sentAt + waitMilliseconds) : undefined,
+      );
+      // A page may end anywhere, so that the next read finds the end at once.
+      waitMilliseconds = isEnd ? options.longPollMilliseconds : 0;
     } else if (result.error.kind === 'trimmed') {
       failures = 0;
       options.onTrimmed(result.error.earliest);
--- a/packages/coordination/src/freshness_exchange/freshness_exchange.test.ts
+++ b/packages/coordination/src/freshness_exchange/freshness_exchange.test.ts
@@ -117,6 +117,26 @@
     });
   });
 
+  describe('with a store that returns changes in pages', () => {
+    // Guards against a process that is back at the store and takes the first page
+    // for all changes, or confirms the copies of others by it.
+    it('claims nothing before the last page', async () => {
+      const fleet = await SimulatedFleet.start(12, {pageVersions: 1});
+      await fleet.advance(SETTLE_MILLISECONDS);
+      fleet.cutAll();
+      await fleet.advance(BOUND_MILLISECONDS);
+      for (let change = 0; change < 60; change += 1) {
+        fleet.publishChange();
+      }
+      await fleet.advance(2 * BOUND_MILLISECONDS);
+      fleet.mendAll();
+      await fleet.advance(BOUND_MILLISECONDS);
+      assert.deepEqual(fleet.falseClaims, []);
+      assert.ok(fleet.greatestAge < DENIAL_AGE_MILLISECONDS);
+      fleet.stop();
+    });
+  });
+
   describe('with processes that pause', () => {
     it('claims nothing after a pause that is not true', async () => {
       const fleet = await SimulatedFleet.start(30, {messageDelays: [120]});
--- a/packages/coordination/src/freshness_exchange/simulated_fleet.ts
+++ b/packages/coordination/src/freshness_exchange/simulated_fleet.ts
@@ -36,6 +36,8 @@
   readonly lossShare?: number;
   /** Delays of messages; each is delivered once for each delay. */
   readonly messageDelays?: readonly number[];
+  /** Versions that fit into a page of the store; all by default. */
+  readonly pageVersions?: number;
   /** Share of the others that each process knows. */
   readonly viewShare?: number;
 }
@@ -185,7 +187,11 @@
     if (known === this.version && waitMilliseconds > 0) {
       await this.waitForChange(waitMilliseconds);
     }
-    const version = this.version;
+    const newest = this.version;
+    const version = Math.min(
+      newest,
+      (known ?? newest) + (this.options.pageVersions ?? newest),
+    );
     await this.clock.sleep(STORE_MILLISECONDS / 2);
     await new Promise<void>(resolve => reader.whenRunning(resolve));
     if (reader.isCut) {
@@ -193,7 +199,7 @@
     }
     const value = Buffer.from(String(version));
     const records = known === version ? [] : [{key: 'version', value}];
-    return Result.ok({records, next: version});
+    return Result.ok({records, next: version, hasMore: version < newest});
   }
 
   /** A process counts for the others while its reports are recent. */
--- a/packages/coordination/src/in_memory_log/in_memory_log.ts
+++ b/packages/coordination/src/in_memory_log/in_memory_log.ts
@@ -24,6 +24,8 @@
 export class InMemoryLog implements AppendOnlyLog {
   private readonly streams = new Map<string, LogPage['records']>();
   private readonly earliest = new Map<string, number>();
+  /** Largest number of records that a read returns. */
+  maximumPageRecords = Number.POSITIVE_INFINITY;
   /** While true, every operation fails with `unavailable`. */
   outage = false;
   /**
@@ -66,9 +68,9 @@
         const message = `records before offset ${earliest} have been trimmed`;
         return Result.err({kind: 'trimmed', earliest, message});
       }
-      const records = this.recordsOf(stream).filter(
-        record => record.offset >= from,
-      );
+      const records = this.recordsOf(stream)
+        .filter(record => record.offset >= from)
+        .slice(0, this.maximumPageRecords);
       const isWaitOver = this.clock.now() >= end || options.signal?.aborted;
       if (records.length > 0 || isWaitOver) {
         const next = (records.at(-1)?.offset ?? from - 1) + 1;
--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -244,16 +244,16 @@
       const entries = records.map(record => decodeEntry(record, options));
       endpoints.replaceAll(entries.filter(entry => entry !== undefined));
       storeState.hasEndpoints = true;
-      options.onEndpointsRead();
     },
     onRecords: records => {
       endpoints.recordStoreResponse();
       records.forEach(record => applyEndpoint(record, options));
+    },
+    onStoreRestored: () => endpoints.startGracePeriod(),
+    onReadStart: () => () => {
       endpoints.evictExpired();
       options.onEndpointsRead();
     },
-    onStoreRestored: () => endpoints.startGracePeriod(),
-    onReadStart: () => () => undefined,
   };
 }
 
--- a/packages/daemon/src/machine/observed_store.test.ts
+++ b/packages/daemon/src/machine/observed_store.test.ts
@@ -15,7 +15,11 @@
 
 import {ObservedStore} from './observed_store.js';
 
-const PAGE: Result<KeyedPage, LogError> = Result.ok({records: [], next: 0});
+const PAGE: Result<KeyedPage, LogError> = Result.ok({
+  records: [],
+  next: 0,
+  hasMore: false,
+});
 const FAILURE: Result<KeyedPage, LogError> = Result.err({
   kind: 'unavailable',
   message: '',
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -184,6 +184,14 @@
     to: 'false',
     test: 'machine/endless_answers',
   },
+  {
+    promise: 'a key that was taken away is rejected in time',
+    mechanism: 'only the last page of a read confirms the copy',
+    file: 'packages/coordination/dist/follow_keyed_topic/follow_keyed_topic.js',
+    from: 'if (hasMore) {',
+    to: 'if (false) {',
+    test: 'coordination/dist/freshness_exchange',
+  },
   {
     promise: 'an endpoint receives what it asks for',
     mechanism: 'an endpoint that asks for a pause is no candidate',
