Take an unnamed stream up only after a read that began after its request

Report of operators: a machine out of step took up streams of a version it did not know.

Can it happen here: not for a stream whose caller names it, which is rejected unless its origin is known (tests before).

A stream that is named costs nothing more.

--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -137,7 +137,7 @@
       }
     }
     entries.forEach(entry => this.put(entry));
-    this.softwareHistory.recordRead();
+    this.softwareHistory.recordSnapshot();
   }
 
   /**
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -2,6 +2,7 @@
  * Building blocks for processes that coordinate through an append-only log.
  */
 export * from './append_only_log/append_only_log.js';
+export * from './awaited_read/awaited_read.js';
 export * from './claim_log/claim_log.js';
 export * from './claim_table/claim_table.js';
 export * from './clock/clock.js';
--- a/packages/coordination/src/software_version_history/software_version_history.test.ts
+++ b/packages/coordination/src/software_version_history/software_version_history.test.ts
@@ -57,6 +57,21 @@
     assert.equal(history.findOnly('text', 100_000), 'v1.1');
   });
 
+  // Guards against a version that came and went in records that a process has
+  // never read, since it was out of step.
+  it('starts anew after a snapshot', () => {
+    history.recordRead();
+    history.record('text', 'v1');
+    now = 5_000;
+    history.recordSnapshot();
+    history.record('text', 'v1');
+    assert.equal(history.findOnly('text', 5_000), undefined);
+    now = 10_000;
+    history.recordRead();
+    history.record('text', 'v1');
+    assert.equal(history.findOnly('text', 5_000), 'v1');
+  });
+
   it('starts anew after a time without reads', () => {
     history.recordRead();
     now = 20_000;
--- a/packages/coordination/src/software_version_history/software_version_history.ts
+++ b/packages/coordination/src/software_version_history/software_version_history.ts
@@ -30,6 +30,15 @@
     this.lastReadAt = this.now();
   }
 
+  /**
+   * Records that all endpoints are known now, and that records before may not
+   * have been read: versions may have come and gone in them.
+   */
+  recordSnapshot(): void {
+    this.startedAt = this.now();
+    this.lastReadAt = this.now();
+  }
+
   /** Records that an endpoint of a service has a version now. */
   record(service: string, softwareVersion: string): void {
     const versions = this.seenAt.get(service) ?? new Map<string, number>();
--- a/packages/daemon/src/machine/create_forwarding_context.ts
+++ b/packages/daemon/src/machine/create_forwarding_context.ts
@@ -53,7 +53,7 @@
 export function createForwardingContext(
   settings: InstanceSettings,
   {logger, histograms, metrics}: Telemetry,
-  state: Pick<MachineState, 'suspicionTable'>,
+  state: Pick<MachineState, 'suspicionTable' | 'endpointsRead'>,
   {
     onLeaving,
     onReady,
@@ -96,6 +96,7 @@
     }),
     limits,
     endpoints,
+    endpointsRead: state.endpointsRead,
     quarantine,
     streamOrigins: new StreamOrigins({
       clock,
--- a/packages/daemon/src/machine/delay_endpoints_read.test.ts
+++ b/packages/daemon/src/machine/delay_endpoints_read.test.ts
@@ -18,10 +18,12 @@
  * @param isReader - Whether the gateway reads on behalf of all
  * @param computeReceivedAge - Returns the age of the received endpoints at a
  *     time since the start of the delay
+ * @param awaitedFrom - Time from which on a request waits for the read
  */
 async function measureWait(
   isReader: boolean,
   computeReceivedAge: (now: number) => number,
+  awaitedFrom = Number.POSITIVE_INFINITY,
 ): Promise<number> {
   const clock = new VirtualClock();
   const startedAt = clock.now();
@@ -33,6 +35,7 @@
       isReader: () => isReader,
       receivedEndpointsAgeMilliseconds: () =>
         computeReceivedAge(clock.now() - startedAt),
+      isReadAwaited: () => clock.now() - startedAt >= awaitedFrom,
     },
     new AbortController().signal,
   ).then(() => (endedAt = clock.now()));
@@ -56,6 +59,11 @@
     assert.ok(wait <= 200, `${wait}`);
   });
 
+  it('reads soon when a request waits for it', async () => {
+    const wait = await measureWait(false, () => 300, 1_000);
+    assert.ok(wait >= 1_000 && wait <= 1_300, `${wait}`);
+  });
+
   it('reads within the draining bound after reports from readers stop', async () => {
     const reportsStopAt = 1_000;
     const wait = await measureWait(false, now =>
--- a/packages/daemon/src/machine/delay_endpoints_read.ts
+++ b/packages/daemon/src/machine/delay_endpoints_read.ts
@@ -37,6 +37,8 @@
    * milliseconds; infinite without a report.
    */
   readonly receivedEndpointsAgeMilliseconds: () => number;
+  /** Returns true while a request waits for the next read. */
+  readonly isReadAwaited: () => boolean;
 }
 
 /** Options of {@link delayEndpointsRead}. */
@@ -54,7 +56,7 @@
 /**
  * Waits until the endpoints should be read again: briefly at a gateway that
  * reads for all, longer at one that receives the endpoints from others, unless
- * their reports are missing or out of date.
+ * their reports are missing or out of date, or a request waits for the read.
  *
  * @param options - Clock, role of this gateway and drain bound
  * @param signal - Ends the wait early
@@ -65,6 +67,7 @@
     bounds,
     isReader,
     receivedEndpointsAgeMilliseconds,
+    isReadAwaited,
   }: DelayEndpointsReadOptions,
   signal: AbortSignal,
 ): Promise<void> {
@@ -74,6 +77,7 @@
   while (
     !signal.aborted &&
     !isReader() &&
+    !isReadAwaited() &&
     receivedEndpointsAgeMilliseconds() < maximumAge &&
     clock.now() - startedAt < FOLLOWER_READ_INTERVAL_MILLISECONDS
   ) {
--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -4,6 +4,7 @@
 import {
   followKeyedTopic,
   SuspicionReplica,
+  type AwaitedRead,
   type Clock,
   type StalenessTracker,
   type EndpointEntry,
@@ -90,6 +91,8 @@
   /** Decides when this gateway reads the configuration itself. */
   readonly configurationFreshness: FreshnessExchange;
   readonly endpoints: EndpointRegistry;
+  /** Reads of the endpoints that requests wait for. */
+  readonly endpointsRead: AwaitedRead;
   readonly bounds: StoreBounds;
   /** Called after each successful read of the endpoints. */
   readonly onEndpointsRead: () => void;
@@ -232,7 +235,7 @@
 }
 
 function followEndpoints(options: FollowStoreOptions): TopicOptions {
-  const {endpoints, storeState} = options;
+  const {endpoints, endpointsRead, storeState} = options;
   return {
     longPollMilliseconds: () => ENDPOINTS_POLL_MILLISECONDS,
     isUrgent: options.isReader,
@@ -250,9 +253,13 @@
       records.forEach(record => applyEndpoint(record, options));
     },
     onStoreRestored: () => endpoints.startGracePeriod(),
-    onReadStart: () => () => {
-      endpoints.evictExpired();
-      options.onEndpointsRead();
+    onReadStart: () => {
+      const confirm = endpointsRead.recordReadStart();
+      return waitedMilliseconds => {
+        endpoints.evictExpired();
+        options.onEndpointsRead();
+        confirm(waitedMilliseconds);
+      };
     },
   };
 }
--- a/packages/daemon/src/machine/machine_state.ts
+++ b/packages/daemon/src/machine/machine_state.ts
@@ -2,6 +2,7 @@
  * Mutable state of a gateway on a machine, shared by its components.
  */
 import type {
+  AwaitedRead,
   EndpointEntry,
   FreshnessExchange,
   StalenessTracker,
@@ -33,6 +34,8 @@
   readonly suspicionTable: SuspicionTable;
   /** Suspicions that changed here recently; included in reports. */
   readonly recentSuspicions: ExpiringList<SuspicionRecord>;
+  /** Reads of the endpoints that requests wait for. */
+  readonly endpointsRead: AwaitedRead;
   /** Time of the last read of the endpoints, on the monotonic clock. */
   endpointsReadAt: number;
 }
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -3,6 +3,7 @@
  * settings: constructs all of its components.
  */
 import {
+  AwaitedRead,
   StalenessTracker,
   SuspicionTable,
   keepRegistered,
@@ -139,6 +140,10 @@
       MONOTONIC_CLOCK,
       SUSPICION_REPORT_MILLISECONDS,
     ),
+    endpointsRead: new AwaitedRead({
+      clock: MONOTONIC_CLOCK,
+      time: stalenessTracker,
+    }),
     endpointsReadAt: Number.NEGATIVE_INFINITY,
   };
   const telemetry = createTelemetry(settings, logStream, {
@@ -270,6 +275,8 @@
     stalenessTracker: state.stalenessTracker,
     configurationFreshness,
     endpoints,
+    endpointsRead: state.endpointsRead,
+    isReadAwaited: () => state.endpointsRead.isAwaited,
     bounds: settings.bounds,
     suspicionTable: state.suspicionTable,
     gateway: settings.instance,
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -4,6 +4,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import type {
+  AwaitedRead,
   Clock,
   EndpointEntry,
   EndpointRegistry,
@@ -40,6 +41,8 @@
   readonly dialect: Dialect;
   readonly client: EndpointClient;
   readonly endpoints: EndpointRegistry;
+  /** Waits until the endpoints are known as of now. */
+  readonly endpointsRead: Pick<AwaitedRead, 'wait'>;
   readonly loads: EndpointLoads;
   /** Rate limits that endpoints state. */
   readonly limits: EndpointLimits;
--- a/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.test.ts
+++ b/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.test.ts
@@ -34,9 +34,21 @@
 function resolve(
   metadata: Partial<RequestMetadata>,
   services: readonly [string, ...string[]],
-  {known, only}: {known?: StreamOrigin; only?: string} = {},
+  {
+    known,
+    only,
+    hasJoined = false,
+    isReadInTime = true,
+  }: {
+    known?: StreamOrigin;
+    only?: string;
+    /** Whether a read finds that another version has joined. */
+    hasJoined?: boolean;
+    isReadInTime?: boolean;
+  } = {},
 ) {
   const asked: number[] = [];
+  let hasRead = false;
   const resolution = resolveStreamOrigin(
     {...METADATA, ...metadata},
     {
@@ -49,9 +61,15 @@
       endpoints: {
         findOnlySoftwareVersion: (_service: string, milliseconds: number) => {
           asked.push(milliseconds);
-          return only;
+          return hasRead && hasJoined ? undefined : only;
         },
       } as never,
+      endpointsRead: {
+        wait: () => {
+          hasRead = true;
+          return Promise.resolve(isReadInTime);
+        },
+      },
       findService: createService,
     },
   );
@@ -104,7 +122,26 @@
       assert.deepEqual(resolved.origin, ORIGIN);
       const timeout = {timeoutMilliseconds: 6_000};
       const deadline = {deadlineMilliseconds: 9_000};
-      assert.deepEqual(asked, [computeTakeUpTime(timeout, deadline)]);
+      const time = computeTakeUpTime(timeout, deadline);
+      assert.deepEqual(asked, [time, time]);
+    });
+
+    // Guards against a machine that was out of step while endpoints of another
+    // version joined, and takes the version that it knows for the only one.
+    it('rejects it where a read finds a version that joined meanwhile', async () => {
+      const {resolution} = resolve({lastEventId: '3'}, ['text'], {
+        only: 'v1',
+        hasJoined: true,
+      });
+      assert.equal((await resolution).kind, 'rejected');
+    });
+
+    it('rejects it while the endpoints cannot be read', async () => {
+      const {resolution} = resolve({lastEventId: '3'}, ['text'], {
+        only: 'v1',
+        isReadInTime: false,
+      });
+      assert.equal((await resolution).kind, 'rejected');
     });
 
     it('rejects it where there were several', async () => {
--- a/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.ts
+++ b/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.ts
@@ -15,6 +15,12 @@
  */
 const UNKNOWN_ORIGIN_RETRY_MILLISECONDS = 500;
 
+/**
+ * Longest wait for a read of the endpoints: the endpoints write to the store many
+ * times a second, and each write ends a read that waits.
+ */
+const READ_TIMEOUT_MILLISECONDS = 1_000;
+
 /** An admitted request, with the origin of its stream if it takes one up. */
 export type OriginResolution =
   | {
@@ -27,7 +33,10 @@
   | {readonly kind: 'rejected'; readonly errorResponse: ErrorResponse};
 
 /** What {@link resolveStreamOrigin} needs of a gateway. */
-type OriginContext = Pick<ForwardingContext, 'endpoints' | 'streamOrigins'> & {
+type OriginContext = Pick<
+  ForwardingContext,
+  'endpoints' | 'endpointsRead' | 'streamOrigins'
+> & {
   /** Finds a service of the configuration in force. */
   readonly findService: (name: string) => RoutedService | undefined;
 };
@@ -45,8 +54,9 @@
 export async function resolveStreamOrigin(
   metadata: RequestMetadata,
   {route, service}: Admission & {kind: 'admitted'},
-  {endpoints, streamOrigins, findService}: OriginContext,
+  context: OriginContext,
 ): Promise<OriginResolution> {
+  const {streamOrigins, findService} = context;
   const {resumedRequestId, lastEventId} = metadata;
   if (
     !route.isStream ||
@@ -55,11 +65,15 @@
     return {kind: 'resolved', service};
   }
   if (resumedRequestId === undefined) {
-    const softwareVersion = endpoints.findOnlySoftwareVersion(
-      service.name,
-      computeTakeUpTime(route, metadata),
-    );
-    if (softwareVersion === undefined || route.services.length > 1) {
+    const softwareVersion =
+      route.services.length > 1
+        ? undefined
+        : await findOnlyOrigin(
+            service.name,
+            computeTakeUpTime(route, metadata),
+            context,
+          );
+    if (softwareVersion === undefined) {
       return reject('it is not named which stream is taken up');
     }
     const origin = {service: service.name, softwareVersion};
@@ -78,6 +92,23 @@
     : {kind: 'resolved', service: originService, origin};
 }
 
+/**
+ * Finds the only software version at which a stream of a service can have begun.
+ * Its endpoint may have joined while this gateway was out of step, so that the
+ * endpoints must be known as of now.
+ */
+async function findOnlyOrigin(
+  service: string,
+  milliseconds: number,
+  {endpoints, endpointsRead}: OriginContext,
+): Promise<string | undefined> {
+  const find = () => endpoints.findOnlySoftwareVersion(service, milliseconds);
+  return find() !== undefined &&
+    (await endpointsRead.wait(READ_TIMEOUT_MILLISECONDS))
+    ? find()
+    : undefined;
+}
+
 function reject(reason: string): OriginResolution {
   return {
     kind: 'rejected',
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -192,6 +192,14 @@
     to: 'if (false) {',
     test: 'coordination/dist/freshness_exchange',
   },
+  {
+    promise: 'a stream continues only at the software version where it began',
+    mechanism: 'a stream that is not named waits for a read of the endpoints',
+    file: 'packages/forwarding/dist/resolve_stream_origin/resolve_stream_origin.js',
+    from: '(await endpointsRead.wait(READ_TIMEOUT_MILLISECONDS))',
+    to: 'true',
+    test: 'forwarding/dist/resolve_stream_origin',
+  },
   {
     promise: 'an endpoint receives what it asks for',
     mechanism: 'an endpoint that asks for a pause is no candidate',
