Use no server whose address cannot be connected to

Report of operators: one odd entry among those of the servers ended the machines that read it, or stopped them from following the list.

Can it happen here: entries that are nested deeply or hold numbers too large are passed over. An entry with a port above 65,535 was taken for a server. Its port fits no field of a report, so that no report was sent for as long as the entry was new (gateway_news_not_sent), and no gateway heard of the others; hosts such as "...." were looked up as names.

Change: isUsableAddress decides at the three places where addresses of others come in: entries, reports, registrations of gateways. The fixture starts several gateways.

--- a/packages/daemon/src/machine/endpoint_messages.ts
+++ b/packages/daemon/src/machine/endpoint_messages.ts
@@ -3,6 +3,7 @@
  */
 import type {EndpointEntry, EndpointIncarnation} from '@briarpin/coordination';
 import type {ArrivedEndpoint, LeavingEndpoint} from '@briarpin/messages';
+import {isUsableAddress} from '@briarpin/settings';
 
 /** Value in a report for the start time of an endpoint that has none. */
 const UNKNOWN_START_TIME = 0;
@@ -50,14 +51,18 @@
 /**
  * Restores the entry of an endpoint that accepts work.
  *
- * @returns The entry; undefined if it names no software version
+ * @returns The entry; undefined if it names no software version, or no address
+ *     that can be connected to
  */
 export function fromArrivedEndpoint(
   arrived: ArrivedEndpoint,
 ): EndpointEntry | undefined {
   const {service, host, port, availabilityZone, slots, softwareVersion} =
     arrived;
-  if (softwareVersion === UNKNOWN_SOFTWARE_VERSION) {
+  if (
+    softwareVersion === UNKNOWN_SOFTWARE_VERSION ||
+    !isUsableAddress(arrived)
+  ) {
     return undefined;
   }
   return {
--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -26,6 +26,7 @@
 import {validateGatewayRegistration} from '@briarpin/messages';
 import {parseJson} from '@briarpin/platform';
 import type {GatewayPeer} from '@briarpin/forwarding';
+import {isUsableAddress} from '@briarpin/settings';
 import {runTask, type EventLogger} from '@briarpin/telemetry';
 
 import {
@@ -349,7 +350,7 @@
 
 function decodeGateway({key, value}: KeyedRecord): GatewayPeer | undefined {
   const record = value === undefined ? undefined : parseJson(value);
-  return validateGatewayRegistration(record)
+  return validateGatewayRegistration(record) && isUsableAddress(record)
     ? {gateway: key, host: record.host, port: record.port}
     : undefined;
 }
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -200,6 +200,14 @@
     to: 'true',
     test: 'forwarding/dist/resolve_stream_origin',
   },
+  {
+    promise: 'a process survives what others write',
+    mechanism: 'an address that cannot be connected to names no endpoint',
+    file: 'platform/dist/decode_endpoint/decode_endpoint.js',
+    from: '!isUsableAddress(address)',
+    to: 'false',
+    test: 'machine/odd_entries',
+  },
   {
     promise: 'an endpoint receives what it asks for',
     mechanism: 'an endpoint that asks for a pause is no candidate',
