Keep what an endpoint says of itself while it is not tracked

Cause: the answer came after its entry was removed, so that the notice was dropped; a late heartbeat brought the entry back.

Change: the notice is kept with the removed entry, told to the other gateways, and binds until another incarnation begins.

Before and after: endpoint_registry "remembers what an endpoint says of itself while it is not tracked" failed without the change (the endpoint was ready again), passes with it.

--- a/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
@@ -164,6 +164,20 @@
     });
   });
 
+  // Guards against requests to an endpoint that has said in a response that it
+  // leaves, when a late entry comes after its removal.
+  it('remembers what an endpoint says of itself while it is not tracked', () => {
+    const {registry, leavingEvents, readyIds} = createRegistry();
+    registry.put(createEntry('a', {sequence: 5}));
+    registry.remove('a');
+    registry.markDrainingFromResponse({id: 'a', startedAt: 1});
+    registry.put(createEntry('a', {sequence: 6}));
+    assert.deepEqual(readyIds(), []);
+    assert.deepEqual(leavingEvents, ['a entry_removed', 'a told_by_endpoint']);
+    registry.put(createEntry('a', {sequence: 1, startedAt: 2}));
+    assert.deepEqual(readyIds(), ['a']);
+  });
+
   it('keeps an endpoint whose later entry follows its removal', () => {
     const {registry, leavingEvents, readyIds} = createRegistry();
     registry.put(createEntry('a', {sequence: 5}));
--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -258,7 +258,8 @@
     {id, startedAt}: EndpointIncarnation,
     reason: LeavingReason,
   ): void {
-    const entry = this.tracked.get(id)?.entry;
+    const isTracked = this.tracked.has(id);
+    const entry = this.tracked.get(id)?.entry ?? this.removed.get(id)?.entry;
     if (
       entry === undefined ||
       entry.state === 'draining' ||
@@ -267,7 +268,12 @@
       return;
     }
     const leaving: EndpointEntry = {...entry, state: 'draining'};
-    this.tracked.set(id, {entry: leaving});
+    if (isTracked) {
+      this.tracked.set(id, {entry: leaving});
+    } else {
+      const removedAt = this.options.now();
+      this.removed.set(id, {entry: leaving, removedAt});
+    }
     this.readyByService.clear();
     this.options.onLeaving(leaving, reason);
   }
