Probe also a server that has announced its end after an answer without a length

Cause: only servers that the registry lists as ready were probed; one that drains counted as alive without a look, and its system closes its connections in order.

Change: every server is probed after such an end, and one that no longer listens has ended, whatever it announced. hasCrashed is now hasEnded.

Conclusion: a sound answer of a server that ends within one round trip after it counts as broken off; nothing proves it.

--- a/packages/daemon/src/machine/create_forwarding_context.ts
+++ b/packages/daemon/src/machine/create_forwarding_context.ts
@@ -91,7 +91,7 @@
   return {
     dialect,
     client: new EndpointClient(dialect, limits, {
-      hasCrashed: endpoint => quarantine.hasCrashed(endpoint),
+      hasEnded: endpoint => quarantine.hasEnded(endpoint),
       onLeaving: endpoint => endpoints.markDrainingFromResponse(endpoint),
     }),
     limits,
--- a/packages/forwarding/src/crash_quarantine/crash_quarantine.ts
+++ b/packages/forwarding/src/crash_quarantine/crash_quarantine.ts
@@ -197,20 +197,26 @@
   }
 
   /**
-   * Finds out whether an endpoint has ended without a shutdown notice.
+   * Finds out whether an endpoint has ended, so that its open connections were
+   * closed whatever it still had to send: after a crash, or after a shutdown that
+   * it had announced.
    *
    * @param endpoint - Endpoint whose connection has just been closed in order
-   * @returns True when it has crashed; false when it has not, or nothing shows it
+   * @returns True when it has ended; false when it has not, or nothing shows it
    */
-  async hasCrashed(endpoint: EndpointEntry): Promise<boolean> {
+  async hasEnded(endpoint: EndpointEntry): Promise<boolean> {
     const incarnation = toIncarnationName(endpoint);
-    if (this.isReady(endpoint) && !this.crashed.has(incarnation)) {
-      const state = await this.options.probeListener(endpoint);
-      if (state === 'not_listening' && this.isReady(endpoint)) {
-        this.recordCrash(endpoint);
-      }
+    if (this.crashed.has(incarnation)) {
+      return true;
+    }
+    const state = await this.options.probeListener(endpoint);
+    if (state !== 'not_listening') {
+      return this.crashed.has(incarnation);
     }
-    return this.crashed.has(incarnation);
+    if (this.isReady(endpoint)) {
+      this.recordCrash(endpoint);
+    }
+    return true;
   }
 
   /** Records that an incarnation has ended without a shutdown notice. */
--- a/packages/forwarding/src/endpoint_client/endpoint_client.test.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.test.ts
@@ -30,7 +30,7 @@
     readResponse: () => ({isSigned: true, isNotRun: false, isLeaving: false}),
   } as unknown as Dialect;
   const client = new EndpointClient(dialect, limits, {
-    hasCrashed: () => Promise.resolve(false),
+    hasEnded: () => Promise.resolve(false),
     onLeaving: silent,
   });
 
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -77,8 +77,8 @@
 
 /** Callbacks of {@link EndpointClient}. */
 export interface EndpointClientCallbacks {
-  /** Finds out whether an endpoint has ended without a shutdown notice. */
-  readonly hasCrashed: (endpoint: EndpointEntry) => Promise<boolean>;
+  /** Finds out whether an endpoint has ended. */
+  readonly hasEnded: (endpoint: EndpointEntry) => Promise<boolean>;
   /** Called for each response that states that its endpoint shuts down. */
   readonly onLeaving: (endpoint: EndpointEntry) => void;
 }
@@ -224,7 +224,7 @@
       framing: end.framing,
       confirmEnd: () =>
         confirmResponseEnd(end, () =>
-          this.callbacks.hasCrashed(attempt.endpoint),
+          this.callbacks.hasEnded(attempt.endpoint),
         ),
     };
   }
--- a/packages/platform/src/send_http/send_http.ts
+++ b/packages/platform/src/send_http/send_http.ts
@@ -115,10 +115,10 @@
 ): Promise<Buffer> {
   const end = trackResponseEnd(response);
   const body = await readBody(response, maximumBytes);
-  const hasCrashed = async () =>
+  const hasEnded = async () =>
     (await probeListener({host: hostname, port: Number(port)})) ===
     'not_listening';
-  if (!(await confirmResponseEnd(end, hasCrashed))) {
+  if (!(await confirmResponseEnd(end, hasEnded))) {
     throw new Error('the answer broke off');
   }
   return body;
