Settle an exchange that closes without a response

Cause: Node closes such an exchange and emits only "close"; the clients waited for "response" and "error".

Change: the three HTTP clients settle on "close": of endpoints, sendHttp, and of engines.

--- a/packages/daemon/src/engine/engine_client.test.ts
+++ b/packages/daemon/src/engine/engine_client.test.ts
@@ -18,6 +18,13 @@
   let status = 200;
   let writtenBytes = 0;
   const server = http.createServer((_request, response) => {
+    if (status === 101) {
+      response.socket?.end(
+        'HTTP/1.1 101 Switching Protocols\r\n' +
+          'Connection: Upgrade\r\nUpgrade: other\r\n\r\n',
+      );
+      return;
+    }
     response.writeHead(status, {'content-type': 'text/event-stream'});
     const write = () => {
       while (!response.destroyed && writtenBytes < 2 * MAXIMUM_WRITTEN_BYTES) {
@@ -41,6 +48,17 @@
     server.closeAllConnections();
   });
 
+  // Guards against a generation that never ends, since its exchange has ended
+  // without a response.
+  it('ends when the engine switches protocols', async () => {
+    status = 101;
+    const {port} = server.address() as AddressInfo;
+    const client = new EngineClient(`http://127.0.0.1:${port}`);
+    const signal = AbortSignal.timeout(2_000);
+    assert.equal((await client.resume('r', 0, signal).end).kind, 'broken');
+    assert.equal(signal.aborted, false);
+  });
+
   // Guards against one response of a faulty engine that fills the memory of the
   // sidecar and keeps it from all other requests.
   for (const [description, engineStatus] of [
--- a/packages/daemon/src/engine/engine_client.ts
+++ b/packages/daemon/src/engine/engine_client.ts
@@ -176,7 +176,15 @@
         socket.once('connect', () => (isConnected = true));
       });
       request.on('error', fail);
+      let hasResponse = false;
+      // An exchange may end with neither, as after an unexpected upgrade.
+      request.on('close', () => {
+        if (!hasResponse) {
+          fail(new Error('the exchange ended without a response'));
+        }
+      });
       request.on('response', response => {
+        hasResponse = true;
         readStream(response, chunks).then(resolve, fail);
       });
       request.end(body);
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -131,6 +131,10 @@
       request.on('response', response => {
         resolve(this.classifyResponse(attempt, request, response));
       });
+      // An exchange may end with neither, as after an unexpected upgrade.
+      request.on('close', () =>
+        fail(new Error('the exchange ended without a response')),
+      );
       request.end(attempt.body);
     });
   }
--- a/packages/platform/src/send_http/send_http.test.ts
+++ b/packages/platform/src/send_http/send_http.test.ts
@@ -46,6 +46,31 @@
     assert.equal(response.error.kind, 'unknown');
   });
 
+  // Guards against a call that waits for its timeout although its exchange has
+  // ended without a response.
+  it('ends when the server switches protocols', async () => {
+    const server = http.createServer((request, response) => {
+      response.socket?.end(
+        'HTTP/1.1 101 Switching Protocols\r\n' +
+          'Connection: Upgrade\r\nUpgrade: other\r\n\r\n',
+      );
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const {port} = server.address() as AddressInfo;
+    const response = await sendHttp({
+      url: new URL(`http://127.0.0.1:${port}/`),
+      method: 'GET',
+      timeoutMilliseconds: 5_000,
+      agent: new http.Agent(),
+    });
+    server.close();
+    server.closeAllConnections();
+    assert.ok(response.isErr);
+    assert.equal(response.error.kind, 'unknown');
+    assert.match(response.error.message, /without a response/);
+  });
+
   // Guards against a faulty server whose response fills the memory of the process
   // until the call times out.
   it('ends when the response is larger than allowed', async () => {
--- a/packages/platform/src/send_http/send_http.ts
+++ b/packages/platform/src/send_http/send_http.ts
@@ -84,7 +84,15 @@
       }
     });
     request.on('error', fail);
+    let hasResponse = false;
+    // An exchange may end with neither, as after an unexpected upgrade.
+    request.on('close', () => {
+      if (!hasResponse) {
+        fail(new Error('the exchange ended without a response'));
+      }
+    });
     request.on('response', response => {
+      hasResponse = true;
       readCompleteBody(response, options).then(
         body =>
           settle(
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -224,6 +224,14 @@
     to: 'if (true) {',
     test: 'machine/lapsed_entries',
   },
+  {
+    promise: 'every request is answered',
+    mechanism: 'an exchange that closes without a response is settled',
+    file: 'packages/forwarding/dist/endpoint_client/endpoint_client.js',
+    from: "request.on('close', () =>",
+    to: "request.on('unused', () =>",
+    test: 'machine/upgraded_responses',
+  },
   {
     promise: 'an endpoint receives what it asks for',
     mechanism: 'an endpoint that asks for a pause is no candidate',
