--- a/packages/coordination/src/freshness_exchange/freshness_exchange.ts
+++ b/packages/coordination/src/freshness_exchange/freshness_exchange.ts
@@ -165,6 +165,7 @@
         question,
         version,
         ageMilliseconds,
+        evacuatedZones: [],
       }));
       reply(FreshnessMessage.encode({asked: [], answers}).finish());
     }
--- a/packages/coordination/src/routing_configuration/routing_configuration.ts
+++ b/packages/coordination/src/routing_configuration/routing_configuration.ts
@@ -39,6 +39,8 @@
   readonly maximumAttempts: number;
   /** Priority among routes; 0 is the highest. */
   readonly priority: number;
+  /** Regions in which the requests may run; absent if all may be used. */
+  readonly allowedRegions?: ReadonlySet<string>;
   readonly services: readonly WeightedService[];
 }
 
@@ -70,6 +72,13 @@
   readonly maximumConnections: number;
   /** Absent for services that are not model engines. */
   readonly engine?: EngineProfile;
+  /** Time for which an endpoint is cold after its start. */
+  readonly coldStartMilliseconds: number;
+  /**
+   * Requests a second that a cold endpoint tolerates from all gateways together;
+   * absent if there is no limit.
+   */
+  readonly coldRequestsPerSecond?: number;
 }
 
 /** Limits on the requests of callers. */
@@ -85,6 +94,8 @@
   readonly name: string;
   /** Overrides the priority of the route; when absent, the route's applies. */
   readonly priority?: number;
+  /** Regions in which its requests may run; absent if all may be used. */
+  readonly allowedRegions?: ReadonlySet<string>;
 }
 
 /** One version of the routing configuration. */
--- a/packages/daemon/src/machine/exchange_reports.ts
+++ b/packages/daemon/src/machine/exchange_reports.ts
@@ -49,6 +49,7 @@
     arrived: state.arrivals.list().map(toArrivedEndpoint),
     suspicions: selectReportedSuspicions(state.recentSuspicions.list(), now),
     limits: limits.createReport(),
+    organisationWork: [],
     endpointsAgeMilliseconds: toReportedAge(now - state.endpointsReadAt),
     storeAgeMilliseconds: toReportedAge(state.store.unreachableMilliseconds),
     returnMilliseconds: toReportedReturn(gateway.computeReturnMilliseconds()),
--- a/packages/forwarding/src/admit_request/admit_request.test.ts
+++ b/packages/forwarding/src/admit_request/admit_request.test.ts
@@ -36,6 +36,7 @@
     name,
     healthPath: '/',
     maximumConnections: 10,
+    coldStartMilliseconds: 0,
   });
   return {
     version: 1,
--- a/packages/forwarding/src/dialect/dialect.ts
+++ b/packages/forwarding/src/dialect/dialect.ts
@@ -64,6 +64,11 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How long work takes at the endpoint at this moment, in percent of the usual
+   * time; absent if it states none.
+   */
+  readonly pacePercent?: number;
 }
 
 /** What the headers of a response state about it. */
--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.test.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.test.ts
@@ -14,6 +14,7 @@
   name: 'text',
   healthPath: '/',
   maximumConnections: 10,
+  coldStartMilliseconds: 0,
   engine: {
     slots: 8,
     memoryTokens: 30_000,
--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
@@ -229,6 +229,7 @@
       id: entry.id,
       openRequests: work.requests,
       slots: Math.max(1, entry.slots),
+      concurrencyLimit: Math.max(1, entry.slots),
       usedTokens: work.tokens,
       memoryTokens: engine?.memoryTokens ?? Number.POSITIVE_INFINITY,
       evacuationShare,
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -107,6 +107,7 @@
       tokens: toReportedTokens(work.tokens),
       promptTokens: toReportedTokens(work.promptTokens),
       movableRuns: movable.get(endpoint) ?? 0,
+      eventMicroseconds: 0,
     }));
   }
 
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.test.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.test.ts
@@ -49,12 +49,20 @@
     startedAt: 7,
     createReport: () => ({
       work: [
-        {endpoint: 'e-1', requests, tokens: 9, movableRuns: 1, promptTokens: 4},
+        {
+          endpoint: 'e-1',
+          requests,
+          tokens: 9,
+          movableRuns: 1,
+          promptTokens: 4,
+          eventMicroseconds: 12,
+        },
       ],
       leaving: [{endpoint: 'e-2', startedAt: 3, hasNotice: true, sequence: 3}],
       arrived: [ARRIVED],
       suspicions: [],
       limits: [],
+      organisationWork: [{organisation: 'north', tokens: 8}],
       endpointsAgeMilliseconds: 12,
       storeAgeMilliseconds: 5,
     }),
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
@@ -11,6 +11,7 @@
   type EndpointLimit,
   type EndpointWork,
   type LeavingEndpoint,
+  type OrganisationWork,
 } from '@briarpin/messages';
 import type {EvacuationPeer} from '@briarpin/scheduling';
 import type {EventLogger} from '@briarpin/telemetry';
@@ -41,6 +42,8 @@
   readonly endpointsAgeMilliseconds: number;
   /** Time for which it had not reached the store, at this report. */
   readonly storeAgeMilliseconds: number;
+  /** Work that organisations have received through that gateway. */
+  readonly organisationWork: readonly OrganisationWork[];
   /** Time until that gateway serves again; absent while it serves. */
   readonly returnMilliseconds?: number;
   /** Version of its configuration; absent before the first one. */
@@ -56,6 +59,7 @@
   readonly arrived: ArrivedEndpoint[];
   readonly suspicions: CrashSuspicion[];
   readonly limits: EndpointLimit[];
+  readonly organisationWork: OrganisationWork[];
   readonly endpointsAgeMilliseconds: number;
   readonly storeAgeMilliseconds: number;
   /** Time until this gateway serves again; absent while it serves. */
--- a/packages/messages/src/index.ts
+++ b/packages/messages/src/index.ts
@@ -24,6 +24,7 @@
   type EndpointLimit,
   type EndpointWork,
   type LeavingEndpoint,
+  type OrganisationWork,
 } from './generated/gateway_news.js';
 export * from './generated/gateway_registration.js';
 export * from './generated/log_page.js';
--- a/packages/scheduling/src/select_endpoint/select_endpoint.test.ts
+++ b/packages/scheduling/src/select_endpoint/select_endpoint.test.ts
@@ -15,6 +15,7 @@
     id,
     openRequests: 0,
     slots: 8,
+    concurrencyLimit: 8,
     usedTokens: 0,
     memoryTokens: Number.POSITIVE_INFINITY,
     evacuationShare: 0,
--- a/packages/scheduling/src/select_endpoint/select_endpoint.ts
+++ b/packages/scheduling/src/select_endpoint/select_endpoint.ts
@@ -10,6 +10,8 @@
   readonly openRequests: number;
   /** Requests that the endpoint runs concurrently. */
   readonly slots: number;
+  /** Open requests up to which the endpoint takes another one now. */
+  readonly concurrencyLimit: number;
   /** Memory used by open generations and copies, in tokens. */
   readonly usedTokens: number;
   /** Memory capacity of an engine, in tokens; infinite for plain services. */
