Send requests only to allowed regions, open zones and cold endpoints within a rate

Cause: a request could reach any ready endpoint of its service, whatever its region, whether operators had evacuated the zone, and however recently the endpoint had started.

Change: EndpointEligibility is the one filter for first attempts, retries, copies, checkpoints and moved runs; functions that choose an endpoint take only its branded result. It looks up the route and the organisation in the configuration in force. A copy stops at a target that becomes forbidden. EvacuatedZones follows the keys evacuate/ZONE; answers of the freshness exchange name the zones, and a gateway whose set differs is not confirmed and reads the store. ColdEndpoints divides the rate of a cold endpoint among the gateways by rendezvous hashing, without messages. findCheckpoint is a module of its own; listMemoryHolders is a method of the filter.

--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -447,7 +447,7 @@
  * endpoint has other software only after a restart, also if it does not state
  * when it started.
  */
-function isOfSameIncarnation(
+export function isOfSameIncarnation(
   entry: EndpointEntry,
   lastEntry: EndpointEntry,
 ): boolean {
--- a/packages/coordination/src/freshness_exchange/freshness_exchange.ts
+++ b/packages/coordination/src/freshness_exchange/freshness_exchange.ts
@@ -5,6 +5,7 @@
 
 import type {Clock} from '../clock/clock.js';
 import {WakeableSleep} from '../_lib/wakeable_sleep.js';
+import type {EvacuatedZones} from '../evacuated_zones/evacuated_zones.js';
 import type {StalenessTracker} from '../staleness_tracker/staleness_tracker.js';
 
 /** Time to wait for an answer before another reader is asked. */
@@ -38,6 +39,11 @@
   readonly boundMilliseconds: number;
   /** Returns the version of the own copy; undefined before the first read. */
   readonly version: () => number | undefined;
+  /** Evacuated zones of the own copy, which are part of the topic. */
+  readonly evacuatedZones: Pick<
+    EvacuatedZones,
+    'addReported' | 'differsFrom' | 'listStored'
+  >;
   /** Returns true while this process reads the topic on behalf of all. */
   readonly isReader: () => boolean;
   /** Returns the names of the other processes that do so. */
@@ -69,6 +75,8 @@
   private readonly askedAt = new Map<number, number>();
   /** Newest version heard of since the last read began. */
   private heardVersion = Number.NEGATIVE_INFINITY;
+  /** True if an answer has named other zones since the last read began. */
+  private hasHeardOfOtherZones = false;
   /** Last question whose answer was recent enough to confirm the own copy. */
   private answeredQuestion: number | undefined;
   /** Questions in a row without such an answer. */
@@ -121,6 +129,7 @@
    */
   recordReadStart(): void {
     this.heardVersion = Number.NEGATIVE_INFINITY;
+    this.hasHeardOfOtherZones = false;
   }
 
   /** Waits until this process should read the topic. */
@@ -161,11 +170,12 @@
     const version = this.options.version();
     if (message.asked.length > 0 && version !== undefined) {
       const ageMilliseconds = this.ageMilliseconds;
+      const evacuatedZones = [...this.options.evacuatedZones.listStored()];
       const answers = message.asked.map(question => ({
         question,
         version,
         ageMilliseconds,
-        evacuatedZones: [],
+        evacuatedZones,
       }));
       reply(FreshnessMessage.encode({asked: [], answers}).finish());
     }
@@ -189,6 +199,7 @@
     return (
       this.options.isReader() ||
       this.hasHeardOfNewerVersion() ||
+      this.hasHeardOfOtherZones ||
       this.ageMilliseconds >= this.maximumAge
     );
   }
@@ -226,6 +237,7 @@
     question,
     version,
     ageMilliseconds,
+    evacuatedZones,
   }: FreshnessAnswer): void {
     const askedAt = this.askedAt.get(question);
     if (askedAt === undefined || !(ageMilliseconds >= 0)) {
@@ -237,10 +249,29 @@
     }
     this.answerSleep.wake();
     this.recordVersion(version);
+    if (this.options.evacuatedZones.differsFrom(evacuatedZones)) {
+      this.recordOtherZones(evacuatedZones, ageMilliseconds);
+      return;
+    }
     const own = this.options.version();
     if (own !== undefined && own >= version) {
       this.options.stalenessTracker.confirm(askedAt - ageMilliseconds);
       this.options.onConfirmed();
     }
   }
+
+  /**
+   * Has the own copy read. Until then, zones of a recent answer are evacuated here
+   * too, as this process may not reach the store.
+   */
+  private recordOtherZones(
+    evacuatedZones: readonly string[],
+    ageMilliseconds: number,
+  ): void {
+    if (ageMilliseconds < this.maximumAge) {
+      this.options.evacuatedZones.addReported(evacuatedZones);
+    }
+    this.hasHeardOfOtherZones = true;
+    this.readSleep.wake();
+  }
 }
--- /dev/null
+++ b/packages/coordination/src/freshness_exchange/freshness_zones.test.ts
@@ -0,0 +1,142 @@
+/**
+ * Tests the evacuated zones in answers about the configuration: guards against a
+ * process that counts as current although it does not know of an evacuated or a
+ * restored zone, and against one that waits for its own read before it stops
+ * sending to an evacuated zone.
+ */
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+
+import {FreshnessMessage} from '@briarpin/messages';
+
+import {EvacuatedZones} from '../evacuated_zones/evacuated_zones.js';
+import {StalenessTracker} from '../staleness_tracker/staleness_tracker.js';
+import {VirtualClock} from '../virtual_clock/virtual_clock.js';
+import {FreshnessExchange} from './freshness_exchange.js';
+
+const BOUND_MILLISECONDS = 4_000;
+const VERSION = 3;
+
+const controller = {current: new AbortController()};
+
+/** A process that asks one reader, whose answers the test gives. */
+function createProcess() {
+  const clock = new VirtualClock();
+  const questions: number[] = [];
+  const now = () => clock.now();
+  const stalenessTracker = new StalenessTracker({
+    monotonicMilliseconds: now,
+    wallClockMilliseconds: now,
+  });
+  const zones = new EvacuatedZones({
+    onEvacuated: () => undefined,
+    onRestored: () => undefined,
+  });
+  const exchange = new FreshnessExchange({
+    clock,
+    random: () => 0.5,
+    stalenessTracker,
+    boundMilliseconds: BOUND_MILLISECONDS,
+    version: () => VERSION,
+    evacuatedZones: zones,
+    isReader: () => false,
+    findReaders: () => ['reader'],
+    sendMessage: (_process, message) =>
+      questions.push(...FreshnessMessage.decode(message).asked),
+    onConfirmed: () => undefined,
+    onMalformed: reason => assert.fail(reason),
+  });
+  controller.current = new AbortController();
+  stalenessTracker.confirm(stalenessTracker.readTime());
+  void exchange.run(controller.current.signal);
+  const answer = (evacuatedZones: string[], ageMilliseconds = 0) => {
+    const question = questions.at(-1) ?? assert.fail('no question');
+    const answers = [
+      {question, version: VERSION, ageMilliseconds, evacuatedZones},
+    ];
+    exchange.receive(
+      FreshnessMessage.encode({asked: [], answers}).finish(),
+      () => undefined,
+    );
+  };
+  return {clock, zones, exchange, stalenessTracker, answer};
+}
+
+/** Returns whether a process would read the store now. */
+async function needsRead({
+  exchange,
+  clock,
+}: ReturnType<typeof createProcess>): Promise<boolean> {
+  const waiting = new AbortController();
+  let isDue = false;
+  const wait = exchange.waitForNextRead(waiting.signal);
+  void wait.then(() => (isDue = !waiting.signal.aborted));
+  await clock.advance(1);
+  waiting.abort();
+  await clock.advance(0);
+  return isDue;
+}
+
+describe('FreshnessExchange with evacuated zones', () => {
+  afterEach(() => controller.current.abort());
+
+  it('confirms a process that knows the same zones', async () => {
+    const process = createProcess();
+    process.zones.replaceAll(['east-1', 'west-1']);
+    await process.clock.advance(100);
+    process.answer(['west-1', 'east-1']);
+    assert.equal(process.stalenessTracker.ageMilliseconds(), 100);
+    assert.equal(await needsRead(process), false);
+  });
+
+  for (const [title, own, reported] of [
+    ['lacks a zone', ['east-1'], ['east-1', 'east-2']],
+    ['has a zone that was restored', ['east-1'], []],
+  ] as const) {
+    it(`has a process read that ${title}, and does not confirm it`, async () => {
+      const process = createProcess();
+      process.zones.replaceAll(own);
+      await process.clock.advance(1_000);
+      const before = process.stalenessTracker.ageMilliseconds();
+      process.answer([...reported]);
+      assert.equal(process.stalenessTracker.ageMilliseconds(), before);
+      assert.equal(await needsRead(process), true);
+      process.exchange.recordReadStart();
+      assert.equal(await needsRead(process), false);
+    });
+  }
+
+  it('evacuates a reported zone before the own read', async () => {
+    const process = createProcess();
+    await process.clock.advance(100);
+    process.answer(['east-1']);
+    assert.equal(process.zones.has('east-1'), true);
+  });
+
+  it('evacuates no zone that only an old copy of a reader names', async () => {
+    const process = createProcess();
+    await process.clock.advance(100);
+    process.answer(['east-1'], BOUND_MILLISECONDS);
+    assert.equal(process.zones.has('east-1'), false);
+  });
+
+  it('keeps a zone evacuated until the store says otherwise', async () => {
+    const process = createProcess();
+    process.zones.replaceAll(['east-1']);
+    await process.clock.advance(100);
+    process.answer([]);
+    assert.equal(process.zones.has('east-1'), true);
+  });
+
+  it('answers with the zones that were read from the store', () => {
+    const {exchange, zones} = createProcess();
+    zones.replaceAll(['east-1']);
+    zones.addReported(['west-1']);
+    let reply: FreshnessMessage | undefined;
+    exchange.receive(
+      FreshnessMessage.encode({asked: [7], answers: []}).finish(),
+      message => (reply = FreshnessMessage.decode(message)),
+    );
+    assert.deepEqual(reply?.answers[0]?.evacuatedZones, ['east-1']);
+  });
+});
--- a/packages/coordination/src/freshness_exchange/simulated_fleet.ts
+++ b/packages/coordination/src/freshness_exchange/simulated_fleet.ts
@@ -15,6 +15,7 @@
 import {selectReaders} from '../select_readers/select_readers.js';
 import {StalenessTracker} from '../staleness_tracker/staleness_tracker.js';
 import {VirtualClock} from '../virtual_clock/virtual_clock.js';
+import {EvacuatedZones} from '../evacuated_zones/evacuated_zones.js';
 import {FreshnessExchange} from './freshness_exchange.js';
 
 /** Time within which a change must be known. */
@@ -260,6 +261,10 @@
   isFrozen = false;
   version: number | undefined;
   readonly tracker: StalenessTracker;
+  readonly evacuatedZones = new EvacuatedZones({
+    onEvacuated: () => undefined,
+    onRestored: () => undefined,
+  });
   private readonly exchange: FreshnessExchange;
   private readonly controller = new AbortController();
   private readonly clock: Clock;
@@ -289,6 +294,7 @@
       clock: this.clock,
       random: () => fleet.random(),
       stalenessTracker: this.tracker,
+      evacuatedZones: this.evacuatedZones,
       boundMilliseconds: BOUND_MILLISECONDS,
       version: () => this.version,
       isReader: () => this.isReader,
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -10,6 +10,7 @@
 export * from './configuration_replica/configuration_replica.js';
 export * from './configuration_table/configuration_table.js';
 export * from './endpoint_registry/endpoint_registry.js';
+export * from './evacuated_zones/evacuated_zones.js';
 export * from './find_route/find_route.js';
 export * from './follow_keyed_topic/follow_keyed_topic.js';
 export * from './follow_log/follow_log.js';
--- a/packages/daemon/src/machine/create_configuration_freshness.ts
+++ b/packages/daemon/src/machine/create_configuration_freshness.ts
@@ -20,10 +20,16 @@
  */
 const REVOCATION_SHARE = 0.8;
 
+/**
+ * Part of the evacuation bound within which a gateway must know of an evacuated
+ * zone; what is left covers requests that are being sent.
+ */
+const EVACUATION_SHARE = 0.8;
+
 /** Components used by {@link createConfigurationFreshness}. */
 export interface FreshnessContext extends Pick<
   MachineState,
-  'store' | 'storeState' | 'stalenessTracker'
+  'store' | 'storeState' | 'stalenessTracker' | 'evacuatedZones'
 > {
   /** Returns the connection to the other gateways. */
   readonly mesh: () => GatewayMesh;
@@ -43,6 +49,7 @@
     store,
     storeState,
     stalenessTracker,
+    evacuatedZones,
     mesh,
     endpoints,
     logger,
@@ -54,9 +61,11 @@
     clock: MONOTONIC_CLOCK,
     random: Math.random,
     stalenessTracker,
+    evacuatedZones,
     boundMilliseconds: Math.min(
       bounds.configurationMilliseconds,
       bounds.revocationMilliseconds * REVOCATION_SHARE,
+      bounds.evacuationMilliseconds * EVACUATION_SHARE,
     ),
     version: () => storeState.configuration?.version,
     isReader: () => selectConfigurationReaders().includes(instance),
--- a/packages/daemon/src/machine/create_forwarding_context.ts
+++ b/packages/daemon/src/machine/create_forwarding_context.ts
@@ -9,8 +9,10 @@
   type LeavingReason,
 } from '@briarpin/coordination';
 import {
+  ColdEndpoints,
   CrashQuarantine,
   EndpointClient,
+  EndpointEligibility,
   EndpointLimits,
   EndpointLoads,
   GatewayReturns,
@@ -47,13 +49,16 @@
  *
  * @param settings - Settings of the instance
  * @param telemetry - Logger, histograms and metrics
- * @param state - Provides the suspicions
+ * @param state - Provides the suspicions, the configuration and evacuated zones
  * @param callbacks - Called by the components
  */
 export function createForwardingContext(
   settings: InstanceSettings,
   {logger, histograms, metrics}: Telemetry,
-  state: Pick<MachineState, 'suspicionTable' | 'endpointsRead'>,
+  state: Pick<
+    MachineState,
+    'suspicionTable' | 'endpointsRead' | 'storeState' | 'evacuatedZones'
+  >,
   {
     onLeaving,
     onReady,
@@ -88,14 +93,35 @@
     logger,
     onSuspicion,
   });
+  const coldEndpoints = new ColdEndpoints({
+    gateway: settings.instance,
+    findReportingGateways: reachableGateways,
+    now: () => clock.now(),
+    wallClockMilliseconds: () => Date.now(),
+    findService: name => state.storeState.configuration?.services.get(name),
+    logger,
+    metrics,
+  });
+  const regionOf = (zone: string) =>
+    settings.regionsByAvailabilityZone.get(zone);
   return {
     dialect,
     client: new EndpointClient(dialect, limits, {
       hasEnded: endpoint => quarantine.hasEnded(endpoint),
       onLeaving: endpoint => endpoints.markDrainingFromResponse(endpoint),
+      onSend: endpoint => coldEndpoints.recordSend(endpoint),
     }),
     limits,
     endpoints,
+    coldEndpoints,
+    eligibility: new EndpointEligibility({
+      endpoints,
+      limits,
+      configuration: () => state.storeState.configuration,
+      evacuatedZones: state.evacuatedZones,
+      coldEndpoints,
+      regionOf,
+    }),
     endpointsRead: state.endpointsRead,
     quarantine,
     streamOrigins: new StreamOrigins({
@@ -115,7 +141,7 @@
       windowMilliseconds: settings.bounds.retryWindowMilliseconds,
       now: () => clock.now(),
     }),
-    regionOf: zone => settings.regionsByAvailabilityZone.get(zone),
+    regionOf,
     clock,
     random: Math.random,
     logger,
--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -9,6 +9,7 @@
   type StalenessTracker,
   type EndpointEntry,
   type EndpointRegistry,
+  type EvacuatedZones,
   type FollowKeyedTopicOptions,
   type FreshnessExchange,
   type KeyedRecord,
@@ -25,10 +26,14 @@
 } from '@briarpin/machines';
 import {validateGatewayRegistration} from '@briarpin/messages';
 import {parseJson} from '@briarpin/platform';
-import type {GatewayPeer} from '@briarpin/forwarding';
+import type {ColdEndpoints, GatewayPeer} from '@briarpin/forwarding';
 import {isUsableAddress} from '@briarpin/settings';
 import {runTask, type EventLogger} from '@briarpin/telemetry';
 
+import {
+  applyEvacuationRecords,
+  applyEvacuationSnapshot,
+} from './apply_evacuations.js';
 import {
   delayEndpointsRead,
   type EndpointReaders,
@@ -91,7 +96,10 @@
   readonly stalenessTracker: StalenessTracker;
   /** Decides when this gateway reads the configuration itself. */
   readonly configurationFreshness: FreshnessExchange;
+  /** Zones that operators have evacuated, kept equal to the store. */
+  readonly evacuatedZones: EvacuatedZones;
   readonly endpoints: EndpointRegistry;
+  readonly coldEndpoints: ColdEndpoints;
   /** Reads of the endpoints that requests wait for. */
   readonly endpointsRead: AwaitedRead;
   readonly bounds: StoreBounds;
@@ -186,18 +194,26 @@
 
 function followConfiguration(options: FollowStoreOptions): TopicOptions {
   const {stalenessTracker, configurationFreshness, endpoints} = options;
+  const {evacuatedZones} = options;
   const applyRecords = (records: readonly KeyedRecord[]) =>
     records.forEach(record => applyConfiguration(record, options));
   return {
     longPollMilliseconds: () => configurationFreshness.longPollMilliseconds,
     isUrgent: () => configurationFreshness.isReader,
     waitForNextRead: signal => configurationFreshness.waitForNextRead(signal),
-    onSnapshot: applyRecords,
-    onRecords: applyRecords,
+    onSnapshot: records => {
+      applyRecords(records);
+      applyEvacuationSnapshot(records, evacuatedZones);
+    },
+    onRecords: records => {
+      applyRecords(records);
+      applyEvacuationRecords(records, evacuatedZones);
+    },
     onReadStart: () => {
       configurationFreshness.recordReadStart();
       const sentAt = stalenessTracker.readTime();
       return waitedMilliseconds => {
+        evacuatedZones.recordRead();
         stalenessTracker.confirm(
           Math.min(stalenessTracker.readTime(), sentAt + waitedMilliseconds),
         );
@@ -236,7 +252,15 @@
 }
 
 function followEndpoints(options: FollowStoreOptions): TopicOptions {
-  const {endpoints, endpointsRead, storeState} = options;
+  const {endpoints, endpointsRead, storeState, coldEndpoints} = options;
+  let hasReadAll = false;
+  const recordEntries = (records: readonly KeyedRecord[]) =>
+    records.forEach(({key}) => {
+      const entry = endpoints.find(key);
+      if (entry !== undefined) {
+        coldEndpoints.recordEntry(entry, !hasReadAll);
+      }
+    });
   return {
     longPollMilliseconds: () => ENDPOINTS_POLL_MILLISECONDS,
     isUrgent: options.isReader,
@@ -247,17 +271,21 @@
       endpoints.recordStoreResponse();
       const entries = records.map(record => decodeEntry(record, options));
       endpoints.replaceAll(entries.filter(entry => entry !== undefined));
+      recordEntries(records);
       storeState.hasEndpoints = true;
     },
     onRecords: records => {
       endpoints.recordStoreResponse();
       applyEndpoints(records, options);
+      recordEntries(records);
     },
     onStoreRestored: () => endpoints.startGracePeriod(),
     onReadStart: () => {
       const confirm = endpointsRead.recordReadStart();
       return waitedMilliseconds => {
+        hasReadAll = true;
         endpoints.evictExpired();
+        coldEndpoints.evictExpired(id => endpoints.find(id) !== undefined);
         options.onEndpointsRead();
         confirm(waitedMilliseconds);
       };
--- a/packages/daemon/src/machine/machine_state.ts
+++ b/packages/daemon/src/machine/machine_state.ts
@@ -5,6 +5,7 @@
   AwaitedRead,
   EndpointDeparture,
   EndpointEntry,
+  EvacuatedZones,
   FreshnessExchange,
   StalenessTracker,
   SuspicionTable,
@@ -19,6 +20,8 @@
 export interface MachineState {
   /** State read from the store. */
   readonly storeState: StoreState;
+  /** Zones whose endpoints receive no requests. */
+  readonly evacuatedZones: EvacuatedZones;
   /** Tracks the age of the configuration read from the store. */
   readonly stalenessTracker: StalenessTracker;
   /** Confirms the configuration by what other gateways have read. */
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -26,6 +26,7 @@
 import {runTask, type EventLogger} from '@briarpin/telemetry';
 
 import {createConfigurationFreshness} from './create_configuration_freshness.js';
+import {createEvacuatedZones} from './create_evacuated_zones.js';
 import {createForwardingContext} from './create_forwarding_context.js';
 import {createTelemetry} from './create_telemetry.js';
 import {createReport, applyReport} from './exchange_reports.js';
@@ -117,14 +118,17 @@
       telemetry.metrics.countStoreCall(topic, call);
     },
   });
+  const evacuatedZones = createEvacuatedZones(() => components);
   const state: MachineState = {
     storeState,
+    evacuatedZones,
     stalenessTracker,
     store,
     configurationFreshness: createConfigurationFreshness(settings, {
       store,
       storeState,
       stalenessTracker,
+      evacuatedZones,
       mesh: () => mesh,
       endpoints: () => components.endpoints,
       logger: () => logger,
@@ -176,6 +180,9 @@
         cold: entry.coldMilliseconds,
         source,
       });
+      if (source === 'peer') {
+        components.coldEndpoints.recordEntry(entry, false);
+      }
       // The first snapshot contains no endpoints that are new to the others.
       if (source === 'store' && state.storeState.hasEndpoints) {
         state.arrivals.add(entry);
@@ -262,7 +269,8 @@
   components: ForwardingContext,
   {state, gateway, mesh, meshPort}: StoreFollowingContext,
 ): void {
-  const {clock, random, logger, endpoints, retryBudgets} = components;
+  const {clock, random, logger, endpoints, retryBudgets, coldEndpoints} =
+    components;
   const {store, configurationFreshness} = state;
   const {instance, ip} = settings;
   const {signal} = state.abortController;
@@ -278,7 +286,9 @@
     storeState: state.storeState,
     stalenessTracker: state.stalenessTracker,
     configurationFreshness,
+    evacuatedZones: state.evacuatedZones,
     endpoints,
+    coldEndpoints,
     endpointsRead: state.endpointsRead,
     isReadAwaited: () => state.endpointsRead.isAwaited,
     bounds: settings.bounds,
@@ -298,6 +308,7 @@
     onGateways: gateways => {
       mesh.setPeers(gateways);
       retryBudgets.setGatewayCount(gateways.length);
+      coldEndpoints.setGateways(gateways.map(({gateway: name}) => name));
     },
   });
   const registration = encodeGateway({
--- a/packages/forwarding/src/choose_placement/choose_placement.test.ts
+++ b/packages/forwarding/src/choose_placement/choose_placement.test.ts
@@ -1,15 +1,22 @@
 /**
  * Tests the choice of an engine for a copy: guards against a copy that goes to
- * another software version than that of its source.
+ * another software version than that of its source, to a forbidden region, to an
+ * evacuated zone or to a cold engine.
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
 import type {EndpointEntry} from '@briarpin/coordination';
 
+import {
+  createConfiguration,
+  createEligibility,
+  createRequest,
+  type EligibilityFixture,
+} from '../endpoint_eligibility/eligibility_fixture.js';
 import {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
 import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
-import {chooseCopyTarget} from './choose_placement.js';
+import {chooseCheckpointHolder, chooseCopyTarget} from './choose_placement.js';
 
 function createEntry(id: string, softwareVersion: string): EndpointEntry {
   return {
@@ -27,6 +34,7 @@
 
 const EXCHANGE = {
   metadata: {promptTokens: 10, maximumOutputTokens: 10, promptParts: []},
+  route: {name: 'long'},
   service: {name: 'text'},
 } as unknown as Exchange;
 
@@ -42,7 +50,8 @@
 
 const SOURCE = createEntry('source', 'v1');
 
-function choose(candidates: readonly EndpointEntry[]) {
+function choose(entries: readonly EndpointEntry[]) {
+  const candidates = createEligibility({entries}).find(EXCHANGE);
   return chooseCopyTarget(EXCHANGE, CONTEXT, SOURCE, {
     candidates,
     allowsOtherRegions: true,
@@ -63,3 +72,57 @@
     assert.equal(choose([createEntry('a', 'v1.1')]), undefined);
   });
 });
+
+describe('chooseCheckpointHolder', () => {
+  /** A request whose run is long enough for a checkpoint. */
+  function createLongRequest(): Exchange {
+    const request = createRequest();
+    return {
+      ...request,
+      service: {
+        ...request.service,
+        engine: {supportsCheckpoints: true, memoryTokens: 1e12},
+      } as unknown as Exchange['service'],
+      metadata: {
+        ...request.metadata,
+        estimatedOutputTokens: 2e9,
+        maximumOutputTokens: 2e9,
+      },
+    };
+  }
+
+  function chooseHolder(
+    fixture: Partial<EligibilityFixture> = {},
+    isCold = false,
+  ) {
+    const context = {
+      ...CONTEXT,
+      coldEndpoints: {isCold: () => isCold},
+      eligibility: createEligibility({
+        entries: [SOURCE, createEntry('holder', 'v1')],
+        ...fixture,
+      }),
+    } as unknown as ForwardingContext;
+    return chooseCheckpointHolder(createLongRequest(), context, SOURCE);
+  }
+
+  it('selects another engine', () => {
+    assert.equal(chooseHolder()?.id, 'holder');
+  });
+
+  describe('selects none', () => {
+    it('in a forbidden region', () => {
+      const configuration = () => createConfiguration({route: ['west']});
+      assert.equal(chooseHolder({configuration}), undefined);
+    });
+
+    it('in an evacuated zone', () => {
+      const evacuatedZones = new Set(['east-1']);
+      assert.equal(chooseHolder({evacuatedZones}), undefined);
+    });
+
+    it('that is cold', () => {
+      assert.equal(chooseHolder({}, true), undefined);
+    });
+  });
+});
--- a/packages/forwarding/src/choose_placement/choose_placement.ts
+++ b/packages/forwarding/src/choose_placement/choose_placement.ts
@@ -6,6 +6,10 @@
 import {selectEndpoint, type EndpointState} from '@briarpin/scheduling';
 
 import type {EndpointCandidate} from '../endpoint_loads/endpoint_loads.js';
+import type {
+  EligibleEndpoint,
+  EligibleEndpoints,
+} from '../endpoint_eligibility/endpoint_eligibility.js';
 import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
 
 /**
@@ -76,7 +80,7 @@
 export function chooseEngine(
   exchange: Exchange,
   context: ForwardingContext,
-  candidates: readonly EndpointEntry[],
+  candidates: EligibleEndpoints,
 ): EndpointCandidate | undefined {
   return selectEndpoint(
     context.loads.computeCandidates(candidates, exchange.service),
@@ -100,7 +104,7 @@
   exchange: Exchange,
   context: ForwardingContext,
   source: EndpointEntry,
-): EndpointEntry | undefined {
+): EligibleEndpoint | undefined {
   const profile: EngineProfile | undefined = exchange.service.engine;
   if (
     profile?.supportsCheckpoints !== true ||
@@ -109,9 +113,11 @@
   ) {
     return undefined;
   }
-  const candidates = context.endpoints
-    .findReady(exchange.service.name)
-    .filter(entry => entry.id !== source.id);
+  const candidates = context.eligibility
+    .find(exchange)
+    .filter(
+      entry => entry.id !== source.id && !context.coldEndpoints.isCold(entry),
+    );
   return chooseCopyTarget(exchange, context, source, {
     candidates,
     allowsOtherRegions: false,
@@ -138,10 +144,10 @@
   context: ForwardingContext,
   source: EndpointEntry,
   options: {
-    readonly candidates: readonly EndpointEntry[];
+    readonly candidates: EligibleEndpoints;
     readonly allowsOtherRegions: boolean;
   },
-): EndpointEntry | undefined {
+): EligibleEndpoint | undefined {
   const neededTokens = estimateMemoryTokens(exchange);
   const compatible = options.candidates.filter(
     ({softwareVersion}) => softwareVersion === source.softwareVersion,
@@ -168,5 +174,9 @@
     options.allowsOtherRegions ? states.filter(hasCapacity) : [],
   ];
   const group = groups.find(members => members.length > 0) ?? [];
-  return selectEndpoint(group, {random: context.random, neededTokens})?.entry;
+  const selected = selectEndpoint(group, {
+    random: context.random,
+    neededTokens,
+  });
+  return compatible.find(({id}) => id === selected?.id);
 }
--- a/packages/forwarding/src/endpoint_client/endpoint_client.test.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.test.ts
@@ -32,6 +32,7 @@
   const client = new EndpointClient(dialect, limits, {
     hasEnded: () => Promise.resolve(false),
     onLeaving: silent,
+    onSend: silent,
   });
 
   before(() => new Promise<void>(resolve => server.listen(0, resolve)));
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -81,6 +81,8 @@
   readonly hasEnded: (endpoint: EndpointEntry) => Promise<boolean>;
   /** Called for each response that states that its endpoint shuts down. */
   readonly onLeaving: (endpoint: EndpointEntry) => void;
+  /** Called for each attempt that is sent. */
+  readonly onSend: (endpoint: EndpointEntry) => void;
 }
 
 /** Sends attempts and manages the connections for them. */
@@ -126,6 +128,7 @@
         return;
       }
       this.limits.recordRequest(attempt.endpoint.id);
+      this.callbacks.onSend(attempt.endpoint);
       trackConnection(request, progress, () => this.isPaused(attempt));
       request.on('error', fail);
       request.on('response', response => {
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -6,7 +6,6 @@
 import type {
   AwaitedRead,
   Clock,
-  EndpointEntry,
   EndpointRegistry,
   Route,
   RoutedOrganisation,
@@ -20,9 +19,14 @@
 } from '@briarpin/telemetry';
 
 import type {ConnectionPosition} from '../caller_connections/caller_connections.js';
+import type {ColdEndpoints} from '../cold_endpoints/cold_endpoints.js';
 import type {Dialect, RequestMetadata} from '../dialect/dialect.js';
 import type {CrashQuarantine} from '../crash_quarantine/crash_quarantine.js';
 import type {EndpointClient} from '../endpoint_client/endpoint_client.js';
+import type {
+  EligibleEndpoints,
+  EndpointEligibility,
+} from '../endpoint_eligibility/endpoint_eligibility.js';
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
 import type {GatewayReturns} from '../gateway_returns/gateway_returns.js';
@@ -41,6 +45,10 @@
   readonly dialect: Dialect;
   readonly client: EndpointClient;
   readonly endpoints: EndpointRegistry;
+  /** Filters the endpoints that a request may use. */
+  readonly eligibility: EndpointEligibility;
+  /** Requests that this gateway may send to endpoints after their start. */
+  readonly coldEndpoints: ColdEndpoints;
   /** Waits until the endpoints are known as of now. */
   readonly endpointsRead: Pick<AwaitedRead, 'wait'>;
   readonly loads: EndpointLoads;
@@ -59,7 +67,10 @@
   readonly random: () => number;
   readonly logger: EventLogger;
   readonly histograms: HistogramRegistry;
-  readonly metrics: Pick<GatewayMetrics, 'countRequest'>;
+  readonly metrics: Pick<
+    GatewayMetrics,
+    'countRequest' | 'countUnallowedRequest'
+  >;
   /** Called when work starts that other gateways must count for placement. */
   readonly onWorkStarted: () => void;
   readonly shutdown: Shutdown;
@@ -121,67 +132,34 @@
   );
 }
 
-/**
- * Returns the ready endpoints of the service at which the request may run: all,
- * or those of the software version at which its stream began.
- */
-function findEligibleEndpoints(
-  {service, origin}: Pick<Exchange, 'service' | 'origin'>,
-  {endpoints}: Pick<ForwardingContext, 'endpoints'>,
-): readonly EndpointEntry[] {
-  const ready = endpoints.findReady(service.name);
-  return origin === undefined
-    ? ready
-    : ready.filter(entry => isAtOrigin(entry, origin));
-}
-
-/** Returns whether an endpoint runs the software at which a stream began. */
-function isAtOrigin(entry: EndpointEntry, origin: StreamOrigin): boolean {
-  return (
-    entry.service === origin.service &&
-    entry.softwareVersion === origin.softwareVersion
-  );
-}
-
-/** Returns the endpoints that may run the request and are not at their limit. */
-export function findAcceptingEndpoints(
-  exchange: Pick<Exchange, 'service' | 'origin'>,
-  context: Pick<ForwardingContext, 'endpoints' | 'limits'>,
-): EndpointEntry[] {
-  return findEligibleEndpoints(exchange, context).filter(entry =>
-    context.limits.hasCapacity(entry.id),
-  );
-}
-
 /** Returns the endpoints that accept the request and were not attempted yet. */
 export function findUntriedEndpoints(
   exchange: Exchange,
-  context: ForwardingContext,
-): EndpointEntry[] {
-  return findAcceptingEndpoints(exchange, context).filter(
-    entry => !exchange.triedEndpointIds.includes(entry.id),
-  );
+  {eligibility}: Pick<ForwardingContext, 'eligibility'>,
+): EligibleEndpoints {
+  return eligibility
+    .findAccepting(exchange)
+    .filter(({id}) => !exchange.triedEndpointIds.includes(id));
 }
 
 /**
  * Computes when a request that no endpoint accepts may come again.
  *
  * @param exchange - The request
- * @param context - Endpoints and their limits
+ * @param context - Filter of the endpoints
  * @param overloadMilliseconds - Time for which endpoints without a limit are
  *   expected to be overloaded
  * @returns Milliseconds until the first endpoint is expected to accept it
  */
 export function computeRetryAfterMilliseconds(
   exchange: Exchange,
-  context: ForwardingContext,
+  context: Pick<ForwardingContext, 'eligibility'>,
   overloadMilliseconds: number,
 ): number {
-  const waits = findEligibleEndpoints(exchange, context).map(({id}) =>
-    context.limits.computeWaitMilliseconds(id),
+  return Math.max(
+    overloadMilliseconds,
+    context.eligibility.computeWaitMilliseconds(exchange),
   );
-  const shortestWait = waits.length === 0 ? 0 : Math.min(...waits);
-  return Math.max(overloadMilliseconds, shortestWait);
 }
 
 /**
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -21,6 +21,7 @@
   type ForwardingContext,
   type BufferedResponse,
 } from '../exchange/exchange.js';
+import {explainRejection} from '../explain_rejection/explain_rejection.js';
 import {logUnframedEnd} from '../log_attempts/log_attempts.js';
 import {permitRetry} from '../permit_retry/permit_retry.js';
 
@@ -91,7 +92,9 @@
     return sendBufferedResponse(exchange, context, failure);
   }
   return failExchange(exchange, context, {
-    reason: failure?.reason ?? 'no endpoint takes work',
+    reason:
+      failure?.reason ??
+      explainRejection(exchange, context, 'no endpoint takes work'),
     mayHaveRun,
     retryAfterMilliseconds: computeRetryAfterMilliseconds(
       exchange,
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -3,9 +3,11 @@
  */
 export * from './admit_request/admit_request.js';
 export * from './choose_placement/choose_placement.js';
+export * from './cold_endpoints/cold_endpoints.js';
 export * from './crash_quarantine/crash_quarantine.js';
 export * from './dialect/dialect.js';
 export * from './endpoint_client/endpoint_client.js';
+export * from './endpoint_eligibility/endpoint_eligibility.js';
 export * from './endpoint_loads/endpoint_loads.js';
 export * from './endpoint_limits/endpoint_limits.js';
 export * from './error_response/error_response.js';
--- a/packages/forwarding/src/run_evacuation/run_evacuation.test.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.test.ts
@@ -70,6 +70,7 @@
         const id = targets.find(name => !excluded.includes(name));
         return id === undefined ? undefined : createEntry(id);
       },
+      mayCopyTo: () => true,
       ...overrides,
     },
     {
@@ -210,4 +211,19 @@
     assert.equal(result.kind, 'kept');
     assert.deepEqual(calls, []);
   });
+
+  // Guards against copies that go on to a zone that is evacuated meanwhile.
+  it('continues with another target once the chosen one is forbidden', async () => {
+    let rounds = 0;
+    const {result, calls, dropped} = await moveWithScript([], {
+      mayCopyTo: ({id}) => id !== 'near' || (rounds += 1) <= 1,
+    });
+    assert.equal(result.kind, 'stopped');
+    assert.equal(calls[0], 'near');
+    assert.deepEqual(
+      calls.slice(1).filter(call => call.startsWith('near')),
+      [],
+    );
+    assert.deepEqual(dropped, ['h-1 at near']);
+  });
 });
--- a/packages/forwarding/src/run_evacuation/run_evacuation.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.ts
@@ -39,6 +39,8 @@
   readonly chooseTarget: (
     excluded: readonly string[],
   ) => EndpointEntry | undefined;
+  /** Returns whether a target that was chosen may still receive a copy. */
+  readonly mayCopyTo: (target: EndpointEntry) => boolean;
 }
 
 /** A run that has ended at its source and must resume on another engine. */
@@ -123,7 +125,7 @@
     }
     if (
       target !== undefined &&
-      limits.computePauseMilliseconds(target.id) > 0
+      (limits.computePauseMilliseconds(target.id) > 0 || !run.mayCopyTo(target))
     ) {
       chooseNextTarget(target);
     }
--- a/packages/forwarding/src/run_mover/run_mover.ts
+++ b/packages/forwarding/src/run_mover/run_mover.ts
@@ -6,11 +6,8 @@
 
 import {chooseCopyTarget} from '../choose_placement/choose_placement.js';
 import {computeCopyMilliseconds} from '../compute_copy_milliseconds/compute_copy_milliseconds.js';
-import {
-  findAcceptingEndpoints,
-  type Exchange,
-  type ForwardingContext,
-} from '../exchange/exchange.js';
+import type {EligibleEndpoint} from '../endpoint_eligibility/endpoint_eligibility.js';
+import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
 import {
   dropCopy,
   moveRun,
@@ -130,8 +127,14 @@
         idleLinkMilliseconds: this.estimateCopyMilliseconds(),
         prepareTarget: target => context.client.preconnect(target),
         isAtSource,
-        chooseTarget: excluded =>
-          this.chooseTarget(source, excluded, isOnlyRun),
+        chooseTarget: excluded => {
+          const target = this.chooseTarget(source, excluded, isOnlyRun);
+          if (target !== undefined) {
+            context.coldEndpoints.recordSend(target);
+          }
+          return target;
+        },
+        mayCopyTo: target => context.eligibility.permits(exchange, target),
       },
       context,
       () => {
@@ -218,11 +221,11 @@
     source: EndpointEntry,
     excluded: readonly string[],
     allowsOtherRegions: boolean,
-  ): EndpointEntry | undefined {
+  ): EligibleEndpoint | undefined {
     const {exchange, context} = this;
-    const candidates = findAcceptingEndpoints(exchange, context).filter(
-      entry => entry.id !== source.id && !excluded.includes(entry.id),
-    );
+    const candidates = context.eligibility
+      .findAccepting(exchange)
+      .filter(({id}) => id !== source.id && !excluded.includes(id));
     const holder = this.generation.endpointStream()?.checkpointHolder;
     return (
       candidates.find(entry => entry.id === holder?.id) ??
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -8,7 +8,6 @@
   chooseEngine,
   estimateOutputTokens,
 } from '../choose_placement/choose_placement.js';
-import type {MemorySource} from '../dialect/dialect.js';
 import type {EvacuatedStream} from '../evacuator/evacuator.js';
 import {countEngineWork} from '../count_engine_work/count_engine_work.js';
 import {
@@ -36,7 +35,11 @@
   logResumption,
   logUnframedEnd,
 } from '../log_attempts/log_attempts.js';
-import {listMemoryHolders} from '../list_memory_holders/list_memory_holders.js';
+import {
+  findCheckpoint,
+  type ResumePoint,
+} from '../find_checkpoint/find_checkpoint.js';
+import {explainRejection} from '../explain_rejection/explain_rejection.js';
 import {permitRetry} from '../permit_retry/permit_retry.js';
 import {pinStreamOrigin} from '../pin_stream_origin/pin_stream_origin.js';
 import type {StoppedRun} from '../run_evacuation/run_evacuation.js';
@@ -50,12 +53,6 @@
 /** `Retry-After` of a generation that no engine can accept. */
 const OVERLOAD_RETRY_MILLISECONDS = 500;
 
-/** Endpoint that continues a run, and the copy of the run's memory it loads. */
-interface ResumePoint {
-  readonly endpoint: EndpointEntry;
-  readonly memorySource?: MemorySource;
-}
-
 /** Outcome of opening a stream at an endpoint. */
 type OpenResult =
   {readonly kind: 'leg'; readonly stream: EndpointStream} | OpenFailure;
@@ -200,17 +197,12 @@
 
   private async openNewRun(): Promise<OpenResult> {
     const {exchange, context} = this;
-    let failure: OpenResult = {
-      kind: 'failed',
-      reason: 'no engine takes work',
-      mayHaveRun: false,
-      wasSent: false,
-    };
+    let failure: OpenResult | undefined;
     for (;;) {
       const candidates = findUntriedEndpoints(exchange, context);
       const engine = chooseEngine(exchange, context, candidates);
       if (engine === undefined) {
-        return failure;
+        return failure ?? this.rejectForLackOfEngine();
       }
       exchange.triedEndpointIds.push(engine.id);
       logPlacement(exchange, context, engine);
@@ -225,6 +217,15 @@
     }
   }
 
+  private rejectForLackOfEngine(): OpenResult {
+    const reason = explainRejection(
+      this.exchange,
+      this.context,
+      'no engine takes work',
+    );
+    return {kind: 'failed', reason, mayHaveRun: false, wasSent: false};
+  }
+
   private recordInterrupted(endpoint: EndpointEntry): void {
     this.context.quarantine.recordInterrupted(this.exchange, endpoint);
   }
@@ -270,7 +271,9 @@
       checkpoint: stream.checkpointHolder?.id,
     });
     const checkpoint =
-      this.writer.sentEvents > 0 ? this.findCheckpoint(stream) : undefined;
+      this.writer.sentEvents > 0
+        ? findCheckpoint(this.exchange, this.context, stream)
+        : undefined;
     if (checkpoint !== undefined) {
       const opened = await this.open(checkpoint);
       this.logResumption(checkpoint.endpoint, opened);
@@ -301,9 +304,18 @@
       mayHaveRun: true,
       wasSent: true,
     };
-    const holders = listMemoryHolders(stream.endpoint, moved, this.context);
-    for (const endpoint of holders) {
+    const listHolders = () =>
+      this.context.eligibility.listMemoryHolders(
+        this.exchange,
+        stream.endpoint,
+        moved,
+      );
+    for (const endpoint of listHolders()) {
       await this.waitForPause(endpoint);
+      // The configuration may have changed during the wait.
+      if (!listHolders().some(({id}) => id === endpoint.id)) {
+        continue;
+      }
       opened = await this.open({endpoint, memorySource});
       this.logResumption(endpoint, opened);
       if (opened.kind === 'leg') {
@@ -330,24 +342,6 @@
     });
   }
 
-  private findCheckpoint(stream: EndpointStream): ResumePoint | undefined {
-    const {requestId} = this.exchange.metadata;
-    const holder = stream.checkpointHolder;
-    if (holder === undefined || requestId === undefined) {
-      return undefined;
-    }
-    const endpoint = this.context.endpoints.find(holder.id);
-    if (
-      endpoint?.state !== 'ready' ||
-      endpoint.softwareVersion !== stream.endpoint.softwareVersion ||
-      this.context.limits.computePauseMilliseconds(endpoint.id) > 0
-    ) {
-      return undefined;
-    }
-    const {host, port} = endpoint;
-    return {endpoint, memorySource: {host, port, handle: requestId}};
-  }
-
   private async open(resumePoint: ResumePoint): Promise<OpenResult> {
     const {exchange, context} = this;
     const {endpoint} = resumePoint;
--- a/packages/stand_ins/src/bench/simulate_evacuation.ts
+++ b/packages/stand_ins/src/bench/simulate_evacuation.ts
@@ -8,6 +8,8 @@
   type EngineProfile,
 } from '@briarpin/coordination';
 import {
+  ColdEndpoints,
+  EndpointEligibility,
   EndpointLimits,
   EndpointLoads,
   EvacuationTurn,
@@ -382,22 +384,46 @@
     info: doNothing,
     debug: doNothing,
   };
+  const limits = new EndpointLimits({
+    now: () => simulation.clock.now(),
+    random,
+    logger,
+    onLimitedRequest: doNothing,
+  });
+  const coldEndpoints = new ColdEndpoints({
+    gateway: 'simulated',
+    findReportingGateways: () => [],
+    now: () => simulation.clock.now(),
+    wallClockMilliseconds: () => simulation.clock.now(),
+    findService: doNothing,
+    logger,
+    metrics: {countColdRequest: doNothing},
+  });
+  const regionOf = (zone: string) =>
+    String(Math.floor(Number(zone.split('-')[1]) / ZONES_PER_REGION));
+  const endpoints = {
+    findReady: () => simulation.findReady(),
+    hasOtherSoftware: () => false,
+  };
   const context: Partial<Record<keyof ForwardingContext, unknown>> = {
     dialect,
     clock: simulation.clock,
     random,
     logger,
     client: {preconnect: doNothing},
-    endpoints: {findReady: () => simulation.findReady()},
-    loads: SHARED_LOADS.get(simulation),
-    limits: new EndpointLimits({
-      now: () => simulation.clock.now(),
-      random,
-      logger,
-      onLimitedRequest: doNothing,
+    endpoints,
+    coldEndpoints,
+    eligibility: new EndpointEligibility({
+      endpoints,
+      limits,
+      configuration: doNothing,
+      evacuatedZones: new Set(),
+      coldEndpoints,
+      regionOf,
     }),
-    regionOf: (zone: string) =>
-      String(Math.floor(Number(zone.split('-')[1]) / ZONES_PER_REGION)),
+    loads: SHARED_LOADS.get(simulation),
+    limits,
+    regionOf,
   };
   return context as unknown as ForwardingContext;
 }
--- a/packages/stand_ins/src/bench/simulated_stream.ts
+++ b/packages/stand_ins/src/bench/simulated_stream.ts
@@ -239,7 +239,10 @@
       simulation.policy === 'oracle'
         ? ready.filter(({id}) => simulation.isAvailableUntil(id, until))
         : [];
-    const candidates = longLived.length > 0 ? longLived : ready;
+    const ids = (longLived.length > 0 ? longLived : ready).map(({id}) => id);
+    const candidates = gateway.context.eligibility
+      .find(exchange)
+      .filter(({id}) => ids.includes(id));
     return chooseEngine(exchange, gateway.context, candidates)?.entry;
   }
 
--- a/packages/telemetry/src/gateway_metrics/gateway_metrics.ts
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.ts
@@ -13,6 +13,13 @@
   readonly countEvent: (event: string) => void;
   /** Counts a call to the platform's store by its topic and kind. */
   readonly countStoreCall: (topic: string, call: string) => void;
+  /**
+   * Counts a request that was rejected since no endpoint is in an allowed region
+   * and zone, by its organisation.
+   */
+  readonly countUnallowedRequest: (organisation: string) => void;
+  /** Counts a request or a copy of a run's memory sent to a cold endpoint. */
+  readonly countColdRequest: () => void;
   /** Renders all metrics as text. */
   readonly render: () => Promise<string>;
   readonly contentType: string;
@@ -60,6 +67,17 @@
     labelNames: ['topic', 'call'],
     registers,
   });
+  const unallowedRequests = new Counter({
+    name: 'briarpin_requests_without_allowed_endpoint_total',
+    help: 'Requests rejected since no endpoint is in an allowed region and zone.',
+    labelNames: ['organisation'],
+    registers,
+  });
+  const coldRequests = new Counter({
+    name: 'briarpin_cold_requests_total',
+    help: 'Requests and copies of runs that were sent to cold endpoints.',
+    registers,
+  });
   addGauge('briarpin_open_requests', 'Requests that are open.', {
     registers,
     read: gauges.openRequests,
@@ -82,6 +100,9 @@
       requests.inc({outcome, status: String(status)}),
     countEvent: event => events.inc({event}),
     countStoreCall: (topic, call) => storeCalls.inc({topic, call}),
+    countUnallowedRequest: organisation =>
+      unallowedRequests.inc({organisation}),
+    countColdRequest: () => coldRequests.inc(),
     render: () => registry.metrics(),
     contentType: registry.contentType,
   };
