--- a/packages/coordination/src/evacuated_zones/evacuated_zones.test.ts
+++ b/packages/coordination/src/evacuated_zones/evacuated_zones.test.ts
@@ -44,16 +44,27 @@
       zones.addReported(['east-1']);
       assert.equal(zones.has('east-1'), true);
       assert.deepEqual(zones.listStored(), []);
-      zones.recordRead();
+      zones.recordReadStart()();
       assert.equal(zones.has('east-1'), false);
       assert.deepEqual(changes, ['+east-1', '-east-1']);
     });
 
+    // The read may have been answered before the zone was evacuated.
+    it('keeps one that was reported during a read', () => {
+      const {zones} = createZones();
+      const confirm = zones.recordReadStart();
+      zones.addReported(['east-1']);
+      confirm();
+      assert.equal(zones.has('east-1'), true);
+      zones.recordReadStart()();
+      assert.equal(zones.has('east-1'), false);
+    });
+
     it('does not restore one in between if the store confirms it', () => {
       const {zones, changes} = createZones();
       zones.addReported(['east-1']);
       zones.put('east-1', true);
-      zones.recordRead();
+      zones.recordReadStart()();
       assert.equal(zones.has('east-1'), true);
       assert.deepEqual(changes, ['+east-1']);
     });
--- a/packages/coordination/src/evacuated_zones/evacuated_zones.ts
+++ b/packages/coordination/src/evacuated_zones/evacuated_zones.ts
@@ -18,7 +18,9 @@
  */
 export class EvacuatedZones {
   private readonly stored = new Set<string>();
-  private readonly reported = new Set<string>();
+  /** Zones with the number of reads that had begun when they were reported. */
+  private readonly reported = new Map<string, number>();
+  private readCount = 0;
 
   /**
    * @param options - Callbacks for changes
@@ -68,22 +70,36 @@
   /** Adds zones that another process has recently read from the store. */
   addReported(availabilityZones: readonly string[]): void {
     this.change(() =>
-      availabilityZones.forEach(zone => this.reported.add(zone)),
+      availabilityZones.forEach(zone =>
+        this.reported.set(zone, this.readCount),
+      ),
     );
   }
 
   /**
-   * Records that everything in the store has been read; zones that only another
-   * process has reported are restored.
+   * Records that a read of the store begins; must be called before it is sent.
+   *
+   * @returns Called when everything that was written before the read has been
+   *   applied: zones that were reported before it began are restored unless the
+   *   store has them
    */
-  recordRead(): void {
-    this.change(() => this.reported.clear());
+  recordReadStart(): () => void {
+    this.readCount += 1;
+    const read = this.readCount;
+    return () =>
+      this.change(() => {
+        for (const [zone, reads] of this.reported) {
+          if (reads < read) {
+            this.reported.delete(zone);
+          }
+        }
+      });
   }
 
   private change(apply: () => void): void {
-    const before = new Set([...this.stored, ...this.reported]);
+    const before = new Set([...this.stored, ...this.reported.keys()]);
     apply();
-    const after = new Set([...this.stored, ...this.reported]);
+    const after = new Set([...this.stored, ...this.reported.keys()]);
     for (const zone of after) {
       if (!before.has(zone)) {
         this.options.onEvacuated(zone);
--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -211,9 +211,10 @@
     },
     onReadStart: () => {
       configurationFreshness.recordReadStart();
+      const confirmZones = evacuatedZones.recordReadStart();
       const sentAt = stalenessTracker.readTime();
       return waitedMilliseconds => {
-        evacuatedZones.recordRead();
+        confirmZones();
         stalenessTracker.confirm(
           Math.min(stalenessTracker.readTime(), sentAt + waitedMilliseconds),
         );
--- a/packages/telemetry/src/gateway_metrics/gateway_metrics.test.ts
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.test.ts
@@ -20,6 +20,8 @@
     metrics.countRequest('done', 200);
     metrics.countEvent('endpoint_leaving');
     metrics.countStoreCall('keyed.op', 'read_from');
+    metrics.countUnallowedRequest('quilters');
+    metrics.countColdRequest();
     histograms.record('first_token_milliseconds', 'quilters', 'r-1', 40);
     const text = await metrics.render();
     assert.match(
@@ -28,6 +30,11 @@
     );
     assert.match(text, /briarpin_events_total\{event="endpoint_leaving"\} 1/);
     assert.match(text, /briarpin_open_requests 3/);
+    assert.match(
+      text,
+      /briarpin_requests_without_allowed_endpoint_total\{organisation="quilters"\} 1/,
+    );
+    assert.match(text, /briarpin_cold_requests_total 1/);
     assert.match(
       text,
       /briarpin_store_calls_total\{topic="keyed.op",call="read_from"\} 1/,
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -323,9 +323,9 @@
   {
     promise: 'a stream continues only at the software version where it began',
     mechanism: 'a stream that is taken up is pinned to its origin',
-    file: 'packages/forwarding/dist/exchange/exchange.js',
-    from: 'return origin === undefined',
-    to: 'return true',
+    file: 'packages/forwarding/dist/endpoint_eligibility/endpoint_eligibility.js',
+    from: '(origin === undefined || isAtOrigin(entry, origin))',
+    to: 'true',
     test: 'stream_versions',
   },
   {
@@ -473,6 +473,46 @@
     to: 'return this.largest;',
     test: 'forwarding/dist/shutdown',
   },
+  {
+    promise: 'requests stay in their allowed regions',
+    mechanism: 'the filter applies allowed regions',
+    file: 'packages/forwarding/dist/endpoint_eligibility/endpoint_eligibility.js',
+    from: 'region !== undefined && regions.has(region)',
+    to: 'true',
+    test: 'machine/allowed_regions',
+  },
+  {
+    promise: 'an evacuated zone receives nothing new',
+    mechanism: 'the filter excludes evacuated zones',
+    file: 'packages/forwarding/dist/endpoint_eligibility/endpoint_eligibility.js',
+    from: 'isAllowed(entry) && !this.isEvacuated(entry)',
+    to: 'isAllowed(entry)',
+    test: 'machine/evacuated_zones',
+  },
+  {
+    promise: 'an evacuated zone receives nothing new',
+    mechanism: 'a gateway whose evacuated zones differ reads the store',
+    file: 'packages/coordination/dist/freshness_exchange/freshness_exchange.js',
+    from: 'if (this.options.evacuatedZones.differsFrom(evacuatedZones)) {',
+    to: 'if (false) {',
+    test: 'freshness_zones',
+  },
+  {
+    promise: 'a cold endpoint receives no more than it tolerates',
+    mechanism: 'requests to cold endpoints are counted in a window',
+    file: 'packages/forwarding/dist/cold_endpoints/cold_endpoints.js',
+    from: 'endpoint.sentAt.push(this.options.now());',
+    to: '',
+    test: 'machine/cold_endpoints',
+  },
+  {
+    promise: 'a cold endpoint receives no more than it tolerates',
+    mechanism: 'endpoints of a restored zone are cold',
+    file: 'packages/forwarding/dist/cold_endpoints/cold_endpoints.js',
+    from: 'this.restoredAt.set(availabilityZone, this.options.now());',
+    to: '',
+    test: 'machine/cold_endpoints',
+  },
 ];
 
 let green = 0;
