Keep a gateway that cannot reach the store in service while a zone is evacuated

Cause: a gateway cut off from the store that learned of an evacuated zone from an answer kept to it, but was no longer confirmed, so that it rejected all keys after the revocation bound, although it applied the same zones as the reader.

Change: an answer confirms a gateway where exactly its zones are in force, by the own read or by reports. A zone known only from reports is restored by a report of a later state. A zone that the gateway has read itself is restored only by its own read, as before.

--- a/packages/coordination/src/evacuated_zones/evacuated_zones.ts
+++ b/packages/coordination/src/evacuated_zones/evacuated_zones.ts
@@ -10,16 +10,31 @@
   readonly onRestored: (availabilityZone: string) => void;
 }
 
+/** Evacuated zones as another process has read them. */
+export interface ZoneReport {
+  readonly availabilityZones: readonly string[];
+  /** Time of the receipt, in milliseconds. */
+  readonly receivedAt: number;
+  /** Time at which the store had these zones, or earlier; on the same clock. */
+  readonly stateAt: number;
+}
+
+/** The last report of a zone. */
+interface ReportedZone {
+  /** Number of own reads that had begun. */
+  readonly reads: number;
+  readonly reportedAt: number;
+}
+
 /**
  * Set of the evacuated zones: those read from the store, and those that another
  * process has read but this one has not. The latter hold until this process has
  * read the store itself, so that a process that cannot reach it also stops sending
- * to them. Only the store ends an evacuation.
+ * to them. Reports do not restore a zone that this process has read itself.
  */
 export class EvacuatedZones {
   private readonly stored = new Set<string>();
-  /** Zones with the number of reads that had begun when they were reported. */
-  private readonly reported = new Map<string, number>();
+  private readonly reported = new Map<string, ReportedZone>();
   private readCount = 0;
 
   /**
@@ -67,15 +82,35 @@
     });
   }
 
-  /** Adds zones that another process has recently read from the store. */
-  addReported(availabilityZones: readonly string[]): void {
-    this.change(() =>
-      availabilityZones.forEach(zone =>
-        this.reported.set(zone, this.readCount),
-      ),
+  /**
+   * Returns whether exactly these zones are evacuated here, whoever has read them.
+   */
+  areInForce(availabilityZones: readonly string[]): boolean {
+    const others = new Set(availabilityZones);
+    return (
+      availabilityZones.every(zone => this.has(zone)) &&
+      this.listAll().every(zone => others.has(zone))
     );
   }
 
+  /**
+   * Applies the zones that another process has recently read from the store. A zone
+   * that only reports have named is restored by a later state without it.
+   */
+  applyReport({availabilityZones, receivedAt, stateAt}: ZoneReport): void {
+    this.change(() => {
+      for (const [zone, {reportedAt}] of this.reported) {
+        if (!availabilityZones.includes(zone) && reportedAt < stateAt) {
+          this.reported.delete(zone);
+        }
+      }
+      const reads = this.readCount;
+      availabilityZones.forEach(zone =>
+        this.reported.set(zone, {reads, reportedAt: receivedAt}),
+      );
+    });
+  }
+
   /**
    * Records that a read of the store begins; must be called before it is sent.
    *
@@ -88,7 +123,7 @@
     const read = this.readCount;
     return () =>
       this.change(() => {
-        for (const [zone, reads] of this.reported) {
+        for (const [zone, {reads}] of this.reported) {
           if (reads < read) {
             this.reported.delete(zone);
           }
@@ -96,10 +131,14 @@
       });
   }
 
+  private listAll(): readonly string[] {
+    return [...this.stored, ...this.reported.keys()];
+  }
+
   private change(apply: () => void): void {
-    const before = new Set([...this.stored, ...this.reported.keys()]);
+    const before = new Set(this.listAll());
     apply();
-    const after = new Set([...this.stored, ...this.reported.keys()]);
+    const after = new Set(this.listAll());
     for (const zone of after) {
       if (!before.has(zone)) {
         this.options.onEvacuated(zone);
--- a/packages/coordination/src/freshness_exchange/freshness_exchange.ts
+++ b/packages/coordination/src/freshness_exchange/freshness_exchange.ts
@@ -42,7 +42,7 @@
   /** Evacuated zones of the own copy, which are part of the topic. */
   readonly evacuatedZones: Pick<
     EvacuatedZones,
-    'addReported' | 'differsFrom' | 'listStored'
+    'applyReport' | 'areInForce' | 'differsFrom' | 'listStored'
   >;
   /** Returns true while this process reads the topic on behalf of all. */
   readonly isReader: () => boolean;
@@ -249,29 +249,35 @@
     }
     this.answerSleep.wake();
     this.recordVersion(version);
-    if (this.options.evacuatedZones.differsFrom(evacuatedZones)) {
-      this.recordOtherZones(evacuatedZones, ageMilliseconds);
-      return;
-    }
+    const stateAt = askedAt - ageMilliseconds;
+    this.recordZones(evacuatedZones, stateAt);
     const own = this.options.version();
-    if (own !== undefined && own >= version) {
-      this.options.stalenessTracker.confirm(askedAt - ageMilliseconds);
+    if (
+      own !== undefined &&
+      own >= version &&
+      this.options.evacuatedZones.areInForce(evacuatedZones)
+    ) {
+      this.options.stalenessTracker.confirm(stateAt);
       this.options.onConfirmed();
     }
   }
 
   /**
-   * Has the own copy read. Until then, zones of a recent answer are evacuated here
-   * too, as this process may not reach the store.
+   * Applies the zones of an answer. Zones of a recent one are evacuated here too
+   * before the own copy has been read, as this process may not reach the store.
    */
-  private recordOtherZones(
-    evacuatedZones: readonly string[],
-    ageMilliseconds: number,
+  private recordZones(
+    availabilityZones: readonly string[],
+    stateAt: number,
   ): void {
-    if (ageMilliseconds < this.maximumAge) {
-      this.options.evacuatedZones.addReported(evacuatedZones);
+    const {evacuatedZones, stalenessTracker} = this.options;
+    const receivedAt = stalenessTracker.readTime();
+    if (receivedAt - stateAt < this.maximumAge) {
+      evacuatedZones.applyReport({availabilityZones, receivedAt, stateAt});
+    }
+    if (evacuatedZones.differsFrom(availabilityZones)) {
+      this.hasHeardOfOtherZones = true;
+      this.readSleep.wake();
     }
-    this.hasHeardOfOtherZones = true;
-    this.readSleep.wake();
   }
 }
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -493,7 +493,7 @@
     promise: 'an evacuated zone receives nothing new',
     mechanism: 'a gateway whose evacuated zones differ reads the store',
     file: 'packages/coordination/dist/freshness_exchange/freshness_exchange.js',
-    from: 'if (this.options.evacuatedZones.differsFrom(evacuatedZones)) {',
+    from: 'if (evacuatedZones.differsFrom(availabilityZones)) {',
     to: 'if (false) {',
     test: 'freshness_zones',
   },
