Queue requests for engines at the gateway

Cause: during a burst of long generations the memory of all engines is full. Requests are sent at once, so generations preempt each other and urgent short requests wait behind them at the engines.

EngineQueue (forwarding) drives it and is used by openNewRun when queuesForEngines is set. Without the flag the choice of an engine is the same synchronous call as before.

--- a/packages/daemon/src/machine/create_forwarding_context.ts
+++ b/packages/daemon/src/machine/create_forwarding_context.ts
@@ -13,6 +13,7 @@
   EndpointClient,
   EndpointLimits,
   EndpointLoads,
+  EngineQueue,
   GatewayReturns,
   RequestDurations,
   RetryBudgets,
@@ -125,5 +126,7 @@
     shutdown: new Shutdown(clock),
     durations: new RequestDurations(),
     gatewayReturns: new GatewayReturns({clock, reachableGateways}),
+    queuesForEngines: () => settings.queuesForEngines,
+    engineQueue: new EngineQueue({clock, random: Math.random}),
   };
 }
--- a/packages/daemon/src/machine/exchange_reports.ts
+++ b/packages/daemon/src/machine/exchange_reports.ts
@@ -73,9 +73,10 @@
     endpoints,
     limits,
     gatewayReturns,
+    engineQueue,
   }: Pick<
     ForwardingContext,
-    'loads' | 'endpoints' | 'limits' | 'gatewayReturns'
+    'loads' | 'endpoints' | 'limits' | 'gatewayReturns' | 'engineQueue'
   >,
   mesh: Pick<GatewayMesh, 'evictSilentGateways'>,
   {
@@ -109,6 +110,7 @@
   mesh
     .evictSilentGateways(GATEWAY_TIMEOUT_MILLISECONDS)
     .forEach(gatewayName => loads.removeGateway(gatewayName));
+  engineQueue.reviewAfterReport();
 }
 
 /** Rounds the time until a return, if there is one. */
--- a/packages/forwarding/src/count_engine_work/count_engine_work.ts
+++ b/packages/forwarding/src/count_engine_work/count_engine_work.ts
@@ -3,7 +3,10 @@
  */
 import type {EndpointEntry} from '@briarpin/coordination';
 
-import {estimateMemoryTokens} from '../choose_placement/choose_placement.js';
+import {
+  estimateMemoryTokens,
+  estimateOutputTokens,
+} from '../choose_placement/choose_placement.js';
 import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
 
 /** Handle of counted work, which counts until it is released. */
@@ -71,6 +74,20 @@
       if (checkpointHolder !== undefined) {
         loads.remove(checkpointHolder.id, {tokens});
       }
+      if (context.queuesForEngines()) {
+        reportEnd(exchange, context, clock.now() - sentAt);
+      }
     },
   };
 }
+
+/** Tells the queue that a run has ended, which may leave room for others. */
+function reportEnd(
+  exchange: Exchange,
+  {engineQueue}: Pick<ForwardingContext, 'engineQueue'>,
+  milliseconds: number,
+): void {
+  const tokens = estimateOutputTokens(exchange);
+  engineQueue.recordRun(exchange.route.name, tokens, milliseconds);
+  engineQueue.requestReview();
+}
--- /dev/null
+++ b/packages/forwarding/src/create_admission_request/create_admission_request.ts
@@ -0,0 +1,65 @@
+/**
+ * Describes a request to the admission before the engines.
+ */
+import type {AdmissionRequest} from '@briarpin/scheduling';
+
+import {estimateOutputTokens} from '../choose_placement/choose_placement.js';
+import {
+  resolvePriority,
+  type Exchange,
+  type ForwardingContext,
+} from '../exchange/exchange.js';
+import type {RunTimes} from '../run_times/run_times.js';
+
+/** Weight of each organisation; the configuration states none. */
+const ORGANISATION_WEIGHT = 1;
+
+/**
+ * Creates the description of a request for the admission.
+ *
+ * @param exchange - The request
+ * @param context - Provides the prefill time of the engines
+ * @param options - Identifier in the queue, and how long runs take
+ */
+export function createAdmissionRequest(
+  exchange: Exchange,
+  {loads}: Pick<ForwardingContext, 'loads'>,
+  {id, runTimes}: {readonly id: string; readonly runTimes: RunTimes},
+): AdmissionRequest {
+  const {metadata, route, organisation, arrivedAt, expiresAt} = exchange;
+  const outputTokens = estimateOutputTokens(exchange);
+  const prefillMilliseconds =
+    metadata.promptTokens * loads.prefillMillisecondsPerToken;
+  return {
+    id,
+    lane: createLane(exchange),
+    organisation: organisation?.name ?? '',
+    weight: ORGANISATION_WEIGHT,
+    priority: resolvePriority(exchange),
+    promptTokens: metadata.promptTokens,
+    outputTokens,
+    prefillMilliseconds,
+    runMilliseconds: Math.max(
+      prefillMilliseconds,
+      runTimes.estimate(route.name, outputTokens),
+    ),
+    arrivedAt,
+    targetLatencyMilliseconds: route.targetLatencyMilliseconds,
+    expiresAt,
+  };
+}
+
+/** Returns a key that is equal for requests that the same engines may run. */
+function createLane({
+  origin,
+  triedEndpointIds,
+  route,
+  organisation,
+}: Exchange): string {
+  return JSON.stringify([
+    origin?.softwareVersion,
+    [...triedEndpointIds].sort(),
+    [...(route.allowedRegions ?? [])].sort(),
+    [...(organisation?.allowedRegions ?? [])].sort(),
+  ]);
+}
--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
@@ -112,6 +112,11 @@
     this.adjustWork(endpointId, work, -1);
   }
 
+  /** Time to read one prompt token at an average engine. */
+  get prefillMillisecondsPerToken(): number {
+    return this.millisecondsPerPromptToken;
+  }
+
   /** Counts the prompt tokens queued for prefill at an engine. */
   countPendingPromptTokens(endpointId: string): number {
     return this.sumWork(endpointId).promptTokens;
--- /dev/null
+++ b/packages/forwarding/src/engine_queue/engine_queue.test.ts
@@ -0,0 +1,269 @@
+/**
+ * Tests of requests that wait at the gateway: callers that leave, shutdown,
+ * engines that come and go, missing reports and a suspended process.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {VirtualClock, type EndpointEntry} from '@briarpin/coordination';
+
+import {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
+import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
+import {EngineQueue, type EngineAcquisition} from './engine_queue.js';
+
+const MEMORY_TOKENS = 10_000;
+const SERVICE = {
+  name: 'text',
+  engine: {memoryTokens: MEMORY_TOKENS, slots: 8, supportsMoves: false},
+};
+
+function createEntry(id: string): EndpointEntry {
+  return {
+    id,
+    service: 'text',
+    host: id,
+    port: 80,
+    availabilityZone: 'east-1',
+    state: 'ready',
+    slots: 8,
+    softwareVersion: 'v1',
+    coldMilliseconds: 0,
+  };
+}
+
+/** A gateway with one queue and the engines that its registry lists. */
+class TestGateway {
+  readonly clock = new VirtualClock();
+  readonly events: string[] = [];
+  engines: EndpointEntry[] = [createEntry('e1')];
+  readonly shutdown = {hasBegun: false};
+  readonly loads = new EndpointLoads({
+    now: () => this.clock.now(),
+    findDraining: () => [],
+    roundTripMilliseconds: () => 1,
+  });
+  readonly queue = new EngineQueue({clock: this.clock, random: () => 0.5});
+  readonly context = {
+    clock: this.clock,
+    random: () => 0.5,
+    loads: this.loads,
+    endpoints: {findReady: () => this.engines},
+    limits: {hasCapacity: () => true},
+    shutdown: this.shutdown,
+    logger: {
+      info: (event: string) => this.events.push(event),
+      warn: (event: string) => this.events.push(event),
+    },
+  } as unknown as ForwardingContext;
+
+  /** Submits a request and returns its outcome as soon as it is known. */
+  submit(
+    overrides: {
+      promptTokens?: number;
+      priority?: number;
+      timeoutMilliseconds?: number;
+      triedEndpointIds?: string[];
+      origin?: {service: string; softwareVersion: string};
+    } = {},
+  ): {outcome?: EngineAcquisition; controller: AbortController} {
+    const controller = new AbortController();
+    const arrivedAt = this.clock.now();
+    const {timeoutMilliseconds = 30_000} = overrides;
+    const exchange = {
+      metadata: {
+        requestId: 'r',
+        promptTokens: overrides.promptTokens ?? 3_000,
+        maximumOutputTokens: 1_000,
+        estimatedOutputTokens: 500,
+      },
+      route: {
+        name: 'guide',
+        priority: overrides.priority ?? 2,
+        targetLatencyMilliseconds: 4_000,
+      },
+      service: SERVICE,
+      arrivedAt,
+      expiresAt: arrivedAt + timeoutMilliseconds,
+      signal: controller.signal,
+      triedEndpointIds: overrides.triedEndpointIds ?? [],
+      origin: overrides.origin,
+    } as unknown as Exchange;
+    const submitted: {
+      outcome?: EngineAcquisition;
+      controller: AbortController;
+    } = {controller};
+    void this.queue
+      .acquire(exchange, this.context)
+      .then(outcome => (submitted.outcome = outcome));
+    return submitted;
+  }
+
+  /** Occupies the memory of an engine. */
+  fill(id: string, tokens = MEMORY_TOKENS): void {
+    this.loads.add(id, {requests: 1, tokens});
+  }
+
+  /** Releases the memory of an engine. */
+  release(id: string, tokens = MEMORY_TOKENS): void {
+    this.loads.remove(id, {requests: 1, tokens});
+  }
+}
+
+function isWaiting({outcome}: {outcome?: EngineAcquisition}): boolean {
+  return outcome === undefined;
+}
+
+describe('EngineQueue', () => {
+  it('sends at once while an engine has room', async () => {
+    const gateway = new TestGateway();
+    const submitted = gateway.submit();
+    await gateway.clock.advance(0);
+    assert.equal(submitted.outcome?.kind, 'placed');
+    assert.deepEqual(gateway.events, []);
+  });
+
+  it('sends a waiting request when work of this gateway ends', async () => {
+    const gateway = new TestGateway();
+    gateway.fill('e1');
+    const submitted = gateway.submit();
+    await gateway.clock.advance(100);
+    assert.ok(isWaiting(submitted));
+    assert.deepEqual(gateway.events, ['queued']);
+    gateway.release('e1');
+    gateway.queue.requestReview();
+    await gateway.clock.advance(0);
+    assert.equal(submitted.outcome?.kind, 'placed');
+    assert.deepEqual(gateway.events, ['queued', 'dequeued']);
+    assert.equal(gateway.queue.size, 0);
+  });
+
+  describe('a caller that disconnects', () => {
+    it('is removed at once and never sent', async () => {
+      const gateway = new TestGateway();
+      gateway.fill('e1');
+      const left = gateway.submit();
+      await gateway.clock.advance(30);
+      left.controller.abort();
+      assert.equal(gateway.queue.size, 0);
+      gateway.release('e1');
+      await gateway.clock.advance(1_000);
+      assert.equal(left.outcome?.kind, 'failed');
+    });
+
+    it('is not sent when it leaves in the moment of its placement', async () => {
+      const gateway = new TestGateway();
+      const left = gateway.submit();
+      left.controller.abort();
+      await gateway.clock.advance(0);
+      assert.equal(left.outcome?.kind, 'failed');
+    });
+  });
+
+  describe('a gateway that shuts down', () => {
+    it('rejects what waits as not run', async () => {
+      const gateway = new TestGateway();
+      gateway.fill('e1');
+      const waiting = gateway.submit();
+      await gateway.clock.advance(30);
+      gateway.shutdown.hasBegun = true;
+      await gateway.clock.advance(40);
+      assert.ok(waiting.outcome?.kind === 'failed');
+      assert.equal(waiting.outcome.mayHaveRun, false);
+      assert.equal(gateway.queue.size, 0);
+    });
+  });
+
+  describe('engines that come and go', () => {
+    it('keeps the place of a request while all engines are replaced', async () => {
+      const gateway = new TestGateway();
+      gateway.fill('e1');
+      const first = gateway.submit({promptTokens: 7_000});
+      await gateway.clock.advance(100);
+      const second = gateway.submit({promptTokens: 7_000});
+      gateway.engines = [];
+      await gateway.clock.advance(500);
+      assert.ok(isWaiting(first));
+      gateway.engines = [createEntry('e2')];
+      await gateway.clock.advance(1);
+      await gateway.clock.advance(40);
+      assert.equal(first.outcome?.kind, 'placed');
+      void second;
+    });
+
+    it('rejects what waits when no engine returns', async () => {
+      const gateway = new TestGateway();
+      gateway.fill('e1');
+      const waiting = gateway.submit();
+      await gateway.clock.advance(40);
+      gateway.engines = [];
+      await gateway.clock.advance(1_200);
+      assert.ok(waiting.outcome?.kind === 'failed');
+      assert.ok((waiting.outcome.retryAfterMilliseconds ?? 0) >= 500);
+      assert.deepEqual(gateway.events, ['queued', 'rejected_by_queue']);
+    });
+
+    it('rejects a new request at once when no engine is known', async () => {
+      const gateway = new TestGateway();
+      gateway.engines = [];
+      const submitted = gateway.submit();
+      await gateway.clock.advance(0);
+      assert.deepEqual(submitted.outcome, {kind: 'none'});
+    });
+
+    it('does not send a request to an engine that it tried or to other software', async () => {
+      const gateway = new TestGateway();
+      gateway.engines = [
+        createEntry('e1'),
+        {...createEntry('e2'), softwareVersion: 'v2'},
+        createEntry('e3'),
+      ];
+      gateway.fill('e3');
+      const submitted = gateway.submit({
+        triedEndpointIds: ['e1'],
+        origin: {service: 'text', softwareVersion: 'v1'},
+      });
+      const other = gateway.submit();
+      await gateway.clock.advance(100);
+      assert.ok(isWaiting(submitted));
+      assert.equal(other.outcome?.kind, 'placed', 'blocked by another lane');
+      gateway.release('e3');
+      await gateway.clock.advance(40);
+      assert.ok(submitted.outcome?.kind === 'placed');
+      assert.equal(submitted.outcome.engine.id, 'e3');
+    });
+  });
+
+  it('goes on without the work that a silent gateway reported', async () => {
+    const gateway = new TestGateway();
+    gateway.loads.setGatewayWork(
+      'other',
+      new Map([['e1', {requests: 1, tokens: MEMORY_TOKENS, promptTokens: 0}]]),
+    );
+    const submitted = gateway.submit();
+    await gateway.clock.advance(100);
+    assert.ok(isWaiting(submitted));
+    // Reviews after reports are at least 10 ms apart.
+    await gateway.clock.advance(15);
+    gateway.loads.removeGateway('other');
+    gateway.queue.reviewAfterReport();
+    await gateway.clock.advance(0);
+    assert.equal(submitted.outcome?.kind, 'placed');
+  });
+
+  it('rejects what has expired while the process was suspended', async () => {
+    const gateway = new TestGateway();
+    gateway.fill('e1');
+    const expired = gateway.submit({timeoutMilliseconds: 5_000});
+    const valid = gateway.submit();
+    await gateway.clock.advance(30);
+    // Nothing is reviewed while the process is suspended.
+    const {review} = gateway.queue;
+    gateway.queue.review = () => undefined;
+    await gateway.clock.advance(6_000);
+    gateway.queue.review = review;
+    gateway.release('e1');
+    await gateway.clock.advance(40);
+    assert.equal(expired.outcome?.kind, 'failed');
+    assert.equal(valid.outcome?.kind, 'placed');
+  });
+});
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -25,6 +25,7 @@
 import type {EndpointClient} from '../endpoint_client/endpoint_client.js';
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
+import type {EngineQueue} from '../engine_queue/engine_queue.js';
 import type {GatewayReturns} from '../gateway_returns/gateway_returns.js';
 import {listSharedParts} from '../list_shared_parts/list_shared_parts.js';
 import type {RequestDurations} from '../request_durations/request_durations.js';
@@ -65,6 +66,10 @@
   readonly shutdown: Shutdown;
   /** When the other gateways are expected to return that stop. */
   readonly gatewayReturns: GatewayReturns;
+  /** True if requests wait at the gateway while no engine has room. */
+  readonly queuesForEngines: () => boolean;
+  /** Requests that wait for an engine. */
+  readonly engineQueue: EngineQueue;
 }
 
 /** One admitted request. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -6,6 +6,7 @@
 export * from './crash_quarantine/crash_quarantine.js';
 export * from './dialect/dialect.js';
 export * from './endpoint_client/endpoint_client.js';
+export * from './engine_queue/engine_queue.js';
 export * from './endpoint_loads/endpoint_loads.js';
 export * from './endpoint_limits/endpoint_limits.js';
 export * from './error_response/error_response.js';
--- a/packages/forwarding/src/open_result/open_result.ts
+++ b/packages/forwarding/src/open_result/open_result.ts
@@ -19,6 +19,8 @@
   readonly mayHaveRun: boolean;
   /** False when no byte of the request left this process. */
   readonly wasSent: boolean;
+  /** `Retry-After` of a request that did not run; absent if none is known. */
+  readonly retryAfterMilliseconds?: number;
 }
 
 /** Why no stream was opened. */
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -5,16 +5,15 @@
 
 import {
   chooseCheckpointHolder,
-  chooseEngine,
   estimateOutputTokens,
 } from '../choose_placement/choose_placement.js';
 import type {MemorySource} from '../dialect/dialect.js';
 import type {EvacuatedStream} from '../evacuator/evacuator.js';
+import {acquireEngine} from '../acquire_engine/acquire_engine.js';
 import {countEngineWork} from '../count_engine_work/count_engine_work.js';
 import {
   failExchange,
   sendBufferedResponse,
-  findUntriedEndpoints,
   logFailedAttempt,
   resolvePriority,
   computeRemainingMilliseconds,
@@ -207,11 +206,13 @@
       wasSent: false,
     };
     for (;;) {
-      const candidates = findUntriedEndpoints(exchange, context);
-      const engine = chooseEngine(exchange, context, candidates);
-      if (engine === undefined) {
-        return failure;
+      const acquisition = acquireEngine(exchange, context);
+      const acquired =
+        acquisition instanceof Promise ? await acquisition : acquisition;
+      if (acquired.kind !== 'placed') {
+        return acquired.kind === 'failed' ? acquired : failure;
       }
+      const {engine} = acquired;
       exchange.triedEndpointIds.push(engine.id);
       logPlacement(exchange, context, engine);
       const opened = await this.open({endpoint: engine.entry});
@@ -458,7 +459,11 @@
     });
   }
 
-  private fail({reason, mayHaveRun}: AttemptFailure): ExchangeResult {
+  private fail({
+    reason,
+    mayHaveRun,
+    retryAfterMilliseconds,
+  }: AttemptFailure): ExchangeResult {
     const {exchange, context} = this;
     const {response} = exchange;
     if (response.headersSent) {
@@ -471,11 +476,13 @@
     return failExchange(exchange, context, {
       reason,
       mayHaveRun: mayHaveRun || this.mayHaveRun,
-      retryAfterMilliseconds: computeRetryAfterMilliseconds(
-        exchange,
-        context,
-        OVERLOAD_RETRY_MILLISECONDS,
-      ),
+      retryAfterMilliseconds:
+        retryAfterMilliseconds ??
+        computeRetryAfterMilliseconds(
+          exchange,
+          context,
+          OVERLOAD_RETRY_MILLISECONDS,
+        ),
     });
   }
 }
--- /dev/null
+++ b/packages/scheduling/src/engine_admission/engine_admission.ts
@@ -0,0 +1,385 @@
+/**
+ * Decides which requests for engines start now and where, and which are
+ * rejected.
+ */
+import {
+  AdmissionLane,
+  computeCost,
+  type AdmissionRequest,
+  type LaneHead,
+} from '../admission_lane/admission_lane.js';
+import {findEngineRoom} from '../find_engine_room/find_engine_room.js';
+import {RecentWork} from '../recent_work/recent_work.js';
+import {REQUEST_CLASSES} from '../request/request.js';
+import {
+  selectEndpoint,
+  type EndpointState,
+} from '../select_endpoint/select_endpoint.js';
+import {StartRate} from '../start_rate/start_rate.js';
+
+/**
+ * Time for which a request waits while no engine may run it. Engines that stop
+ * are replaced within seconds, but a gateway that knows none cannot tell when.
+ */
+const WITHOUT_ENGINES_MILLISECONDS = 1_000;
+
+/** Interval at which the predicted waits are compared with the deadlines. */
+const PREDICTION_INTERVAL_MILLISECONDS = 200;
+
+/**
+ * Factor by which the predicted wait of a waiting request must exceed its
+ * remaining time: a request that was let in is not rejected for a small change
+ * of the rate.
+ */
+const PREDICTION_TOLERANCE = 1.25;
+
+/** Largest random addition to a predicted wait, so that callers spread out. */
+const RETRY_JITTER_SHARE = 0.25;
+
+/** Shortest time after which a rejected request should come again. */
+const MINIMUM_RETRY_MILLISECONDS = 500;
+
+/** Time for which the shortest target latency of a service is remembered. */
+const TARGET_MEMORY_MILLISECONDS = 60_000;
+
+/** Why a request is rejected. */
+export type AdmissionRejectionReason =
+  'predicted_wait' | 'no_time_left' | 'no_engine';
+
+/** A request that is not served. */
+export interface AdmissionRejection {
+  readonly request: AdmissionRequest;
+  readonly reason: AdmissionRejectionReason;
+  /** Predicted wait, in milliseconds. */
+  readonly waitMilliseconds: number;
+  /** Time after which it may come again, with jitter. */
+  readonly retryAfterMilliseconds: number;
+}
+
+/** A request that starts now. */
+export interface AdmissionPlacement<T extends EndpointState> {
+  readonly request: AdmissionRequest;
+  readonly endpoint: T;
+}
+
+/** What a review has decided. */
+export interface AdmissionReview<T extends EndpointState> {
+  readonly placements: readonly AdmissionPlacement<T>[];
+  readonly rejections: readonly AdmissionRejection[];
+}
+
+/**
+ * Admission of the requests for the engines of one service.
+ *
+ * A request starts when an engine has room for it and no other request that may
+ * run there goes first. Reviews do not read clocks or sockets; the caller gives
+ * the time and the state of the engines.
+ */
+export class EngineAdmission<T extends EndpointState> {
+  private readonly lanes = new Map<string, AdmissionLane>();
+  private readonly startRate = new StartRate();
+  private readonly recentWork = new RecentWork();
+  private shortestTarget = {milliseconds: Infinity, seenAt: 0};
+  private nextPredictionAt = 0;
+
+  /**
+   * @param random - Returns a random number in [0, 1)
+   */
+  constructor(private readonly random: () => number) {}
+
+  /** Number of waiting requests. */
+  get size(): number {
+    let size = 0;
+    this.lanes.forEach(lane => (size += lane.size));
+    return size;
+  }
+
+  /**
+   * Adds a request, which waits until a review starts or rejects it.
+   *
+   * @param request - The request
+   * @param now - Monotonic time, in milliseconds
+   * @returns The rejection if others wait and it cannot start in its time
+   */
+  submit(
+    request: AdmissionRequest,
+    now: number,
+  ): AdmissionRejection | undefined {
+    this.startRate.observe(this.size > 0, now);
+    this.recordTarget(request, now);
+    const lane = this.lanes.get(request.lane);
+    if (lane !== undefined) {
+      const waitMilliseconds = this.predictWait(
+        lane.computeCostAheadOfNew(request),
+        request,
+      );
+      if (waitMilliseconds > computeSlack(request, now)) {
+        return this.reject(request, 'predicted_wait', waitMilliseconds);
+      }
+    }
+    const target = lane ?? new AdmissionLane(this.recentWork.sum(now));
+    this.lanes.set(request.lane, target);
+    target.add(request, now);
+    return undefined;
+  }
+
+  /**
+   * Starts the requests for which there is room, and rejects those that cannot
+   * be served in their time.
+   *
+   * @param now - Monotonic time, in milliseconds
+   * @param findEngines - Returns the engines that may run the requests of the
+   *   lane of a request; called at most once for each lane
+   * @returns The requests that start, in order, and those that are rejected
+   */
+  review(
+    now: number,
+    findEngines: (request: AdmissionRequest) => readonly T[],
+  ): AdmissionReview<T> {
+    this.startRate.observe(this.size > 0, now);
+    const rejections = this.rejectExpired(now);
+    const enginesByLane = new Map<AdmissionLane, readonly T[]>();
+    for (const lane of this.lanes.values()) {
+      lane.moveLate(now);
+      const [first] = lane.list();
+      const engines = first === undefined ? [] : findEngines(first);
+      enginesByLane.set(lane, engines);
+      rejections.push(...this.rejectWithoutEngines(lane, engines, now));
+    }
+    const placements = this.startRequests(now, enginesByLane);
+    rejections.push(...this.rejectHopeless(now));
+    this.removeEmptyLanes();
+    return {placements, rejections};
+  }
+
+  /** Removes a request whose caller has disconnected. */
+  withdraw({id, lane}: Pick<AdmissionRequest, 'id' | 'lane'>): void {
+    this.lanes.get(lane)?.withdraw(id);
+    this.removeEmptyLanes();
+  }
+
+  /**
+   * Charges an organisation for work that it received through other gateways.
+   *
+   * @param organisation - The organisation
+   * @param tokens - Prompt and output tokens
+   * @param now - Monotonic time, in milliseconds
+   */
+  charge(organisation: string, tokens: number, now: number): void {
+    this.recentWork.add(organisation, tokens, now);
+    this.lanes.forEach(lane => lane.charge(organisation, tokens));
+  }
+
+  private startRequests(
+    now: number,
+    enginesByLane: Map<AdmissionLane, readonly T[]>,
+  ): AdmissionPlacement<T>[] {
+    const placements: AdmissionPlacement<T>[] = [];
+    const openLanes = new Set(enginesByLane.keys());
+    for (;;) {
+      const lane = chooseLane(openLanes, now);
+      const placement = lane && this.placeNext(lane, enginesByLane, now);
+      if (lane === undefined) {
+        return placements;
+      }
+      if (placement === undefined) {
+        openLanes.delete(lane);
+        continue;
+      }
+      placements.push(placement);
+      this.recordStart(lane, placement.request, now);
+      for (const [other, engines] of enginesByLane) {
+        enginesByLane.set(other, addPlacement(engines, placement));
+      }
+    }
+  }
+
+  /** Places the next request of a lane, or an urgent one that needs less room. */
+  private placeNext(
+    lane: AdmissionLane,
+    enginesByLane: ReadonlyMap<AdmissionLane, readonly T[]>,
+    now: number,
+  ): AdmissionPlacement<T> | undefined {
+    const engines = enginesByLane.get(lane) ?? [];
+    const head = lane.peek(now);
+    const placement = head && this.place(head, engines);
+    if (placement !== undefined || head?.schedulingClass === 'urgent') {
+      return placement;
+    }
+    const urgent = lane.peekUrgent(now);
+    return urgent && this.place(urgent, engines);
+  }
+
+  private place(
+    {request, usesReserves}: LaneHead,
+    engines: readonly T[],
+  ): AdmissionPlacement<T> | undefined {
+    const tokens = computeCost(request);
+    const room = findEngineRoom(engines, {
+      tokens,
+      prefillMilliseconds: request.prefillMilliseconds,
+      usesReserves,
+      shortestTargetMilliseconds: this.shortestTarget.milliseconds,
+    });
+    const endpoint = selectEndpoint(room, {
+      random: this.random,
+      neededTokens: tokens,
+    });
+    return endpoint && {request, endpoint};
+  }
+
+  private recordStart(
+    started: AdmissionLane,
+    request: AdmissionRequest,
+    now: number,
+  ): void {
+    const tokens = computeCost(request);
+    started.start(request);
+    for (const lane of this.lanes.values()) {
+      if (lane !== started) {
+        lane.charge(request.organisation, tokens);
+      }
+    }
+    this.recentWork.add(request.organisation, tokens, now);
+    this.startRate.recordStart(tokens);
+  }
+
+  private rejectWithoutEngines(
+    lane: AdmissionLane,
+    engines: readonly T[],
+    now: number,
+  ): AdmissionRejection[] {
+    if (engines.length > 0) {
+      lane.withoutEnginesSince = undefined;
+      return [];
+    }
+    lane.withoutEnginesSince ??= now;
+    if (now - lane.withoutEnginesSince < WITHOUT_ENGINES_MILLISECONDS) {
+      return [];
+    }
+    return lane.list().map(request => {
+      lane.withdraw(request.id);
+      return this.reject(request, 'no_engine', 0);
+    });
+  }
+
+  /** Rejects the requests whose first event would come after their deadline. */
+  private rejectExpired(now: number): AdmissionRejection[] {
+    const rejections: AdmissionRejection[] = [];
+    for (const lane of this.lanes.values()) {
+      for (const request of lane.list()) {
+        if (request.expiresAt - request.prefillMilliseconds <= now) {
+          lane.withdraw(request.id);
+          rejections.push(this.reject(request, 'no_time_left', 0));
+        }
+      }
+    }
+    return rejections;
+  }
+
+  /** Rejects the waiting requests that cannot end in their time. */
+  private rejectHopeless(now: number): AdmissionRejection[] {
+    const isPredicted = now >= this.nextPredictionAt;
+    if (isPredicted) {
+      this.nextPredictionAt = now + PREDICTION_INTERVAL_MILLISECONDS;
+    }
+    const rejections: AdmissionRejection[] = [];
+    for (const lane of this.lanes.values()) {
+      for (const request of lane.list()) {
+        const slack = computeSlack(request, now);
+        const wait = isPredicted
+          ? this.predictWait(lane.computeCostAhead(request.id), request)
+          : 0;
+        if (slack <= 0 || wait > slack * PREDICTION_TOLERANCE) {
+          lane.withdraw(request.id);
+          const reason = slack <= 0 ? 'no_time_left' : 'predicted_wait';
+          rejections.push(this.reject(request, reason, wait));
+        }
+      }
+    }
+    return rejections;
+  }
+
+  private predictWait(costAhead: number, request: AdmissionRequest): number {
+    const cost = computeCost(request);
+    return this.startRate.predictMilliseconds(costAhead + cost, cost);
+  }
+
+  private reject(
+    request: AdmissionRequest,
+    reason: AdmissionRejectionReason,
+    waitMilliseconds: number,
+  ): AdmissionRejection {
+    const jitter = 1 + this.random() * RETRY_JITTER_SHARE;
+    const retryAfterMilliseconds =
+      Math.max(MINIMUM_RETRY_MILLISECONDS, waitMilliseconds) * jitter;
+    return {request, reason, waitMilliseconds, retryAfterMilliseconds};
+  }
+
+  private recordTarget(request: AdmissionRequest, now: number): void {
+    const {milliseconds, seenAt} = this.shortestTarget;
+    const isOld = now - seenAt > TARGET_MEMORY_MILLISECONDS;
+    if (request.targetLatencyMilliseconds <= milliseconds || isOld) {
+      this.shortestTarget = {
+        milliseconds: request.targetLatencyMilliseconds,
+        seenAt: now,
+      };
+    }
+  }
+
+  private removeEmptyLanes(): void {
+    for (const [name, lane] of this.lanes) {
+      if (lane.size === 0) {
+        this.lanes.delete(name);
+      }
+    }
+  }
+}
+
+/** Returns the lane whose next request goes first. */
+function chooseLane(
+  lanes: ReadonlySet<AdmissionLane>,
+  now: number,
+): AdmissionLane | undefined {
+  let best: {lane: AdmissionLane; head: LaneHead} | undefined;
+  for (const lane of lanes) {
+    const head = lane.peek(now);
+    if (head !== undefined && (!best || isBefore(head, best.head))) {
+      best = {lane, head};
+    }
+  }
+  return best?.lane;
+}
+
+function isBefore(left: LaneHead, right: LaneHead): boolean {
+  const indexOf = ({schedulingClass}: LaneHead) =>
+    REQUEST_CLASSES.indexOf(schedulingClass);
+  return (
+    (indexOf(left) - indexOf(right) ||
+      Number(left.isLate) - Number(right.isLate) ||
+      left.request.arrivedAt - right.request.arrivedAt) < 0
+  );
+}
+
+/** Returns the time for which a request can wait and still end in its time. */
+function computeSlack(request: AdmissionRequest, now: number): number {
+  return request.expiresAt - request.runMilliseconds - now;
+}
+
+/** Adds a placed request to the state of its engine. */
+function addPlacement<T extends EndpointState>(
+  engines: readonly T[],
+  {request, endpoint}: AdmissionPlacement<T>,
+): T[] {
+  return engines.map(engine =>
+    engine.id === endpoint.id
+      ? {
+          ...engine,
+          openRequests: engine.openRequests + 1,
+          usedTokens: engine.usedTokens + computeCost(request),
+          waitMilliseconds:
+            engine.waitMilliseconds + request.prefillMilliseconds,
+        }
+      : engine,
+  );
+}
