--- a/packages/forwarding/src/acquire_engine/acquire_engine.ts
+++ b/packages/forwarding/src/acquire_engine/acquire_engine.ts
@@ -2,7 +2,7 @@
  * Obtains an engine for a generation, at once or after a wait at the gateway.
  */
 import {chooseEngine} from '../choose_placement/choose_placement.js';
-import type {EngineAcquisition} from '../engine_queue/engine_queue.js';
+import type {EngineAcquisition} from '../engine_acquisition/engine_acquisition.js';
 import {
   findUntriedEndpoints,
   type Exchange,
--- a/packages/forwarding/src/engine_queue/engine_queue.test.ts
+++ b/packages/forwarding/src/engine_queue/engine_queue.test.ts
@@ -7,9 +7,10 @@
 
 import {VirtualClock, type EndpointEntry} from '@briarpin/coordination';
 
+import type {EngineAcquisition} from '../engine_acquisition/engine_acquisition.js';
 import {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
 import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
-import {EngineQueue, type EngineAcquisition} from './engine_queue.js';
+import {EngineQueue} from './engine_queue.js';
 
 const MEMORY_TOKENS = 10_000;
 const SERVICE = {
--- a/packages/forwarding/src/engine_queue/engine_queue.ts
+++ b/packages/forwarding/src/engine_queue/engine_queue.ts
@@ -9,6 +9,10 @@
 } from '@briarpin/scheduling';
 
 import {createAdmissionRequest} from '../create_admission_request/create_admission_request.js';
+import {
+  createNotSent,
+  type EngineAcquisition,
+} from '../engine_acquisition/engine_acquisition.js';
 import type {EndpointCandidate} from '../endpoint_loads/endpoint_loads.js';
 import {
   findUntriedEndpoints,
@@ -20,7 +24,6 @@
   logQueued,
   logRejectedByQueue,
 } from '../log_admission/log_admission.js';
-import type {AttemptFailure} from '../open_result/open_result.js';
 import {RunTimes} from '../run_times/run_times.js';
 
 /** Mean interval of the reviews while requests wait. */
@@ -32,13 +35,6 @@
 /** Wait from which a request is logged as queued. */
 const LOGGED_WAIT_MILLISECONDS = 50;
 
-/** Outcome of the wait for an engine. */
-export type EngineAcquisition =
-  | {readonly kind: 'placed'; readonly engine: EndpointCandidate}
-  | AttemptFailure
-  /** No engine may run the request. */
-  | {readonly kind: 'none'};
-
 /** Options of {@link EngineQueue}. */
 export interface EngineQueueOptions {
   readonly clock: Clock;
@@ -100,7 +96,7 @@
     context: ForwardingContext,
   ): Promise<EngineAcquisition> {
     if (exchange.signal.aborted) {
-      return Promise.resolve(createFailure('the caller left before it waited'));
+      return Promise.resolve(createNotSent('the caller left before it waited'));
     }
     if (findUntriedEndpoints(exchange, context).length === 0) {
       return Promise.resolve({kind: 'none'});
@@ -109,7 +105,7 @@
       this.submit(exchange, context, resolve),
     ).then(acquisition =>
       exchange.signal.aborted
-        ? createFailure('the caller left or the time is over')
+        ? createNotSent('the caller left or the time is over')
         : acquisition,
     );
   }
@@ -182,7 +178,7 @@
     });
     const onAbort = () => {
       service.admission.withdraw(request);
-      waiting.settle(createFailure('the caller left or the time is over'));
+      waiting.settle(createNotSent('the caller left or the time is over'));
     };
     const waiting: WaitingRequest = {
       request,
@@ -254,7 +250,7 @@
     const {request, context, queuedAt} = waiting;
     if (context.shutdown.hasBegun) {
       admission.withdraw(request);
-      waiting.settle(createFailure('the gateway shuts down'));
+      waiting.settle(createNotSent('the gateway shuts down'));
     } else if (
       !waiting.isLogged &&
       now - queuedAt >= LOGGED_WAIT_MILLISECONDS
@@ -304,23 +300,9 @@
 ): void {
   logRejectedByQueue(waiting, rejection, now);
   waiting.settle(
-    createFailure(
+    createNotSent(
       `no engine has room in time: ${rejection.reason}`,
       rejection.retryAfterMilliseconds,
     ),
   );
 }
-
-/** Creates the failure of a request that was not sent. */
-function createFailure(
-  reason: string,
-  retryAfterMilliseconds?: number,
-): AttemptFailure {
-  return {
-    kind: 'failed',
-    reason,
-    mayHaveRun: false,
-    wasSent: false,
-    retryAfterMilliseconds,
-  };
-}
--- a/packages/scheduling/src/engine_admission/engine_admission.ts
+++ b/packages/scheduling/src/engine_admission/engine_admission.ts
@@ -6,15 +6,13 @@
   AdmissionLane,
   computeCost,
   type AdmissionRequest,
-  type LaneHead,
 } from '../admission_lane/admission_lane.js';
-import {findEngineRoom} from '../find_engine_room/find_engine_room.js';
-import {RecentWork} from '../recent_work/recent_work.js';
-import {REQUEST_CLASSES} from '../request/request.js';
 import {
-  selectEndpoint,
-  type EndpointState,
-} from '../select_endpoint/select_endpoint.js';
+  placeRequests,
+  type AdmissionPlacement,
+} from '../place_requests/place_requests.js';
+import {RecentWork} from '../recent_work/recent_work.js';
+import type {EndpointState} from '../select_endpoint/select_endpoint.js';
 import {StartRate} from '../start_rate/start_rate.js';
 
 /**
@@ -56,12 +54,6 @@
   readonly retryAfterMilliseconds: number;
 }
 
-/** A request that starts now. */
-export interface AdmissionPlacement<T extends EndpointState> {
-  readonly request: AdmissionRequest;
-  readonly endpoint: T;
-}
-
 /** What a review has decided. */
 export interface AdmissionReview<T extends EndpointState> {
   readonly placements: readonly AdmissionPlacement<T>[];
@@ -146,7 +138,12 @@
       enginesByLane.set(lane, engines);
       rejections.push(...this.rejectWithoutEngines(lane, engines, now));
     }
-    const placements = this.startRequests(now, enginesByLane);
+    const placements = placeRequests(enginesByLane, {
+      now,
+      random: this.random,
+      shortestTargetMilliseconds: this.shortestTarget.milliseconds,
+      onStart: (lane, request) => this.recordStart(lane, request, now),
+    });
     rejections.push(...this.rejectHopeless(now));
     this.removeEmptyLanes();
     return {placements, rejections};
@@ -170,64 +167,6 @@
     this.lanes.forEach(lane => lane.charge(organisation, tokens));
   }
 
-  private startRequests(
-    now: number,
-    enginesByLane: Map<AdmissionLane, readonly T[]>,
-  ): AdmissionPlacement<T>[] {
-    const placements: AdmissionPlacement<T>[] = [];
-    const openLanes = new Set(enginesByLane.keys());
-    for (;;) {
-      const lane = chooseLane(openLanes, now);
-      const placement = lane && this.placeNext(lane, enginesByLane, now);
-      if (lane === undefined) {
-        return placements;
-      }
-      if (placement === undefined) {
-        openLanes.delete(lane);
-        continue;
-      }
-      placements.push(placement);
-      this.recordStart(lane, placement.request, now);
-      for (const [other, engines] of enginesByLane) {
-        enginesByLane.set(other, addPlacement(engines, placement));
-      }
-    }
-  }
-
-  /** Places the next request of a lane, or an urgent one that needs less room. */
-  private placeNext(
-    lane: AdmissionLane,
-    enginesByLane: ReadonlyMap<AdmissionLane, readonly T[]>,
-    now: number,
-  ): AdmissionPlacement<T> | undefined {
-    const engines = enginesByLane.get(lane) ?? [];
-    const head = lane.peek(now);
-    const placement = head && this.place(head, engines);
-    if (placement !== undefined || head?.schedulingClass === 'urgent') {
-      return placement;
-    }
-    const urgent = lane.peekUrgent(now);
-    return urgent && this.place(urgent, engines);
-  }
-
-  private place(
-    {request, usesReserves}: LaneHead,
-    engines: readonly T[],
-  ): AdmissionPlacement<T> | undefined {
-    const tokens = computeCost(request);
-    const room = findEngineRoom(engines, {
-      tokens,
-      prefillMilliseconds: request.prefillMilliseconds,
-      usesReserves,
-      shortestTargetMilliseconds: this.shortestTarget.milliseconds,
-    });
-    const endpoint = selectEndpoint(room, {
-      random: this.random,
-      neededTokens: tokens,
-    });
-    return endpoint && {request, endpoint};
-  }
-
   private recordStart(
     started: AdmissionLane,
     request: AdmissionRequest,
@@ -336,50 +275,7 @@
   }
 }
 
-/** Returns the lane whose next request goes first. */
-function chooseLane(
-  lanes: ReadonlySet<AdmissionLane>,
-  now: number,
-): AdmissionLane | undefined {
-  let best: {lane: AdmissionLane; head: LaneHead} | undefined;
-  for (const lane of lanes) {
-    const head = lane.peek(now);
-    if (head !== undefined && (!best || isBefore(head, best.head))) {
-      best = {lane, head};
-    }
-  }
-  return best?.lane;
-}
-
-function isBefore(left: LaneHead, right: LaneHead): boolean {
-  const indexOf = ({schedulingClass}: LaneHead) =>
-    REQUEST_CLASSES.indexOf(schedulingClass);
-  return (
-    (indexOf(left) - indexOf(right) ||
-      Number(left.isLate) - Number(right.isLate) ||
-      left.request.arrivedAt - right.request.arrivedAt) < 0
-  );
-}
-
 /** Returns the time for which a request can wait and still end in its time. */
 function computeSlack(request: AdmissionRequest, now: number): number {
   return request.expiresAt - request.runMilliseconds - now;
 }
-
-/** Adds a placed request to the state of its engine. */
-function addPlacement<T extends EndpointState>(
-  engines: readonly T[],
-  {request, endpoint}: AdmissionPlacement<T>,
-): T[] {
-  return engines.map(engine =>
-    engine.id === endpoint.id
-      ? {
-          ...engine,
-          openRequests: engine.openRequests + 1,
-          usedTokens: engine.usedTokens + computeCost(request),
-          waitMilliseconds:
-            engine.waitMilliseconds + request.prefillMilliseconds,
-        }
-      : engine,
-  );
-}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -25,6 +25,7 @@
 export * from './length_model/length_model.js';
 export * from './margin_controller/margin_controller.js';
 export * from './peak_predictor/peak_predictor.js';
+export * from './place_requests/place_requests.js';
 export * from './recent_work/recent_work.js';
 export * from './request/request.js';
 export * from './retry_budget/retry_budget.js';
