Charge organisations for the work that other gateways report

Cause: each gateway orders waiting requests by the work of their organisations, but knew only the work that it had sent itself.

It counts only where requests wait for engines, so other deployments report none.

--- a/packages/daemon/src/machine/create_forwarding_context.ts
+++ b/packages/daemon/src/machine/create_forwarding_context.ts
@@ -15,6 +15,7 @@
   EndpointLoads,
   EngineQueue,
   GatewayReturns,
+  OrganisationWorkCounts,
   RequestDurations,
   RetryBudgets,
   Shutdown,
@@ -128,5 +129,6 @@
     gatewayReturns: new GatewayReturns({clock, reachableGateways}),
     queuesForEngines: () => settings.queuesForEngines,
     engineQueue: new EngineQueue({clock, random: Math.random}),
+    organisationWork: new OrganisationWorkCounts(() => clock.now()),
   };
 }
--- a/packages/daemon/src/machine/exchange_reports.ts
+++ b/packages/daemon/src/machine/exchange_reports.ts
@@ -33,13 +33,17 @@
  * Creates the report of this gateway.
  *
  * @param gateway - Provides the unfinished work
- * @param components - Provides the limits of endpoints
+ * @param components - Provides the limits of endpoints and the work by
+ *   organisation
  * @param state - State of the process
  * @param now - Monotonic time, in milliseconds
  */
 export function createReport(
   gateway: ForwardingGateway,
-  {limits}: Pick<ForwardingContext, 'limits'>,
+  {
+    limits,
+    organisationWork,
+  }: Pick<ForwardingContext, 'limits' | 'organisationWork'>,
   state: MachineState,
   now: number,
 ): LocalReport {
@@ -49,7 +53,7 @@
     arrived: state.arrivals.list().map(toArrivedEndpoint),
     suspicions: selectReportedSuspicions(state.recentSuspicions.list(), now),
     limits: limits.createReport(),
-    organisationWork: [],
+    organisationWork: organisationWork.createReport(),
     endpointsAgeMilliseconds: toReportedAge(now - state.endpointsReadAt),
     storeAgeMilliseconds: toReportedAge(state.store.unreachableMilliseconds),
     returnMilliseconds: toReportedReturn(gateway.computeReturnMilliseconds()),
@@ -61,7 +65,8 @@
  * Applies a report of another gateway and evicts gateways that have timed out.
  *
  * @param report - The received report
- * @param components - Endpoint loads, registry, limits and returns to update
+ * @param components - Endpoint loads, registry, limits, returns, work by
+ *   organisation and waiting requests to update
  * @param mesh - Evicts the gateways without a recent report
  * @param state - Suspicions to update; all are reported to a new process. Reads
  *   the configuration when the report names a newer version
@@ -74,9 +79,15 @@
     limits,
     gatewayReturns,
     engineQueue,
+    organisationWork,
   }: Pick<
     ForwardingContext,
-    'loads' | 'endpoints' | 'limits' | 'gatewayReturns' | 'engineQueue'
+    | 'loads'
+    | 'endpoints'
+    | 'limits'
+    | 'gatewayReturns'
+    | 'engineQueue'
+    | 'organisationWork'
   >,
   mesh: Pick<GatewayMesh, 'evictSilentGateways'>,
   {
@@ -109,7 +120,15 @@
   );
   mesh
     .evictSilentGateways(GATEWAY_TIMEOUT_MILLISECONDS)
-    .forEach(gatewayName => loads.removeGateway(gatewayName));
+    .forEach(gatewayName => {
+      loads.removeGateway(gatewayName);
+      organisationWork.removeGateway(gatewayName);
+    });
+  organisationWork
+    .applyReport(report)
+    .forEach(({organisation, tokens}) =>
+      engineQueue.charge(organisation, tokens),
+    );
   engineQueue.reviewAfterReport();
 }
 
--- a/packages/forwarding/src/count_engine_work/count_engine_work.ts
+++ b/packages/forwarding/src/count_engine_work/count_engine_work.ts
@@ -9,6 +9,9 @@
 } from '../choose_placement/choose_placement.js';
 import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
 
+/** Events of a run after which its output is counted for its organisation. */
+const EVENTS_PER_COUNT = 32;
+
 /** Handle of counted work, which counts until it is released. */
 export interface CountedWork {
   /** Called for each event; the first event marks the end of the prefill. */
@@ -50,6 +53,7 @@
     loads.add(checkpointHolder.id, {tokens});
   }
   context.onWorkStarted();
+  const received = createReceivedWork(exchange, context, promptTokens);
   let isPrefilled = false;
   const completePrefill = () => {
     if (!isPrefilled) {
@@ -67,9 +71,11 @@
         );
       }
       completePrefill();
+      received.recordEvent();
     },
     release: () => {
       completePrefill();
+      received.flush();
       loads.remove(endpoint.id, {requests: 1, tokens});
       if (checkpointHolder !== undefined) {
         loads.remove(checkpointHolder.id, {tokens});
@@ -91,3 +97,34 @@
   engineQueue.recordRun(exchange.route.name, tokens, milliseconds);
   engineQueue.requestReview();
 }
+
+/**
+ * Counts what the organisation receives by a run, if requests wait for engines.
+ * Output is counted in steps, because each count updates the recent work.
+ */
+function createReceivedWork(
+  {organisation, service}: Exchange,
+  {organisationWork, queuesForEngines}: ForwardingContext,
+  promptTokens: number,
+): {readonly recordEvent: () => void; readonly flush: () => void} {
+  if (!queuesForEngines()) {
+    return {recordEvent: () => undefined, flush: () => undefined};
+  }
+  const name = organisation?.name ?? 'public';
+  const tokensPerEvent = service.engine?.tokensPerEvent ?? 1;
+  let events = 0;
+  const flush = () => {
+    organisationWork.add(name, events * tokensPerEvent);
+    events = 0;
+  };
+  organisationWork.add(name, promptTokens);
+  return {
+    recordEvent: () => {
+      events += 1;
+      if (events >= EVENTS_PER_COUNT) {
+        flush();
+      }
+    },
+    flush,
+  };
+}
--- a/packages/forwarding/src/create_admission_request/create_admission_request.ts
+++ b/packages/forwarding/src/create_admission_request/create_admission_request.ts
@@ -33,7 +33,7 @@
   return {
     id,
     lane: createLane(exchange),
-    organisation: organisation?.name ?? '',
+    organisation: organisation?.name ?? 'public',
     weight: ORGANISATION_WEIGHT,
     priority: resolvePriority(exchange),
     promptTokens: metadata.promptTokens,
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -28,6 +28,7 @@
 import type {EngineQueue} from '../engine_queue/engine_queue.js';
 import type {GatewayReturns} from '../gateway_returns/gateway_returns.js';
 import {listSharedParts} from '../list_shared_parts/list_shared_parts.js';
+import type {OrganisationWorkCounts} from '../organisation_work/organisation_work.js';
 import type {RequestDurations} from '../request_durations/request_durations.js';
 import type {RetryBudgets} from '../retry_budgets/retry_budgets.js';
 import type {Shutdown} from '../shutdown/shutdown.js';
@@ -70,6 +71,8 @@
   readonly queuesForEngines: () => boolean;
   /** Requests that wait for an engine. */
   readonly engineQueue: EngineQueue;
+  /** Work by organisation; counted if requests wait for engines. */
+  readonly organisationWork: OrganisationWorkCounts;
 }
 
 /** One admitted request. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -18,6 +18,7 @@
 export * from './gateway_mesh/gateway_mesh.js';
 export * from './gateway_returns/gateway_returns.js';
 export * from './list_shared_parts/list_shared_parts.js';
+export * from './organisation_work/organisation_work.js';
 export * from './preconnecting_agent/preconnecting_agent.js';
 export * from './request_durations/request_durations.js';
 export * from './retry_budgets/retry_budgets.js';
