--- a/packages/scheduling/src/admission_lane/admission_lane.ts
+++ b/packages/scheduling/src/admission_lane/admission_lane.ts
@@ -15,6 +15,12 @@
  */
 const DUE_MILLISECONDS = 300;
 
+/**
+ * Requests by whose work an organisation may have received more than another
+ * one and still have its timely requests served before late ones of the other.
+ */
+const LATE_SLACK_REQUESTS = 2;
+
 /** A request that asks for an engine. */
 export interface AdmissionRequest {
   readonly id: string;
@@ -175,16 +181,30 @@
     return this.computeOnTimeCost(request);
   }
 
-  /** Returns the request that starts next. */
-  peek(now: number): LaneHead | undefined {
+  /**
+   * Returns the request that starts next.
+   *
+   * Within a priority, a timely request goes before a late one, unless its
+   * organisation has received much more: otherwise the new requests of an
+   * organisation that floods would go before the late ones of all others.
+   *
+   * @param now - Monotonic time, in milliseconds
+   * @param received - Recent work by organisation, in tokens
+   */
+  peek(
+    now: number,
+    received: ReadonlyMap<string, number>,
+  ): LaneHead | undefined {
     const onTime = this.onTime.peek(now, () => true);
     const late = this.late.peek(now, () => true);
     if (onTime === undefined || late === undefined) {
       return this.toHead(onTime ?? late);
     }
-    return this.toHead(
-      indexOfClass(late) < indexOfClass(onTime) ? late : onTime,
-    );
+    const difference = indexOfClass(late) - indexOfClass(onTime);
+    const goesFirst =
+      difference < 0 ||
+      (difference === 0 && hasReceivedLess(late, onTime, received));
+    return this.toHead(goesFirst ? late : onTime);
   }
 
   /** Returns the urgent request that starts next. */
@@ -228,6 +248,18 @@
   }
 }
 
+/** Returns whether the organisation of a late request is behind. */
+function hasReceivedLess(
+  late: QueuedRequest,
+  onTime: QueuedRequest,
+  received: ReadonlyMap<string, number>,
+): boolean {
+  const readShare = ({request}: QueuedRequest) =>
+    (received.get(request.organisation) ?? 0) / request.weight;
+  const slack = (LATE_SLACK_REQUESTS * late.expectedCost) / late.request.weight;
+  return readShare(late) + slack < readShare(onTime);
+}
+
 function indexOfClass({schedulingClass}: QueuedRequest): number {
   return REQUEST_CLASSES.indexOf(schedulingClass);
 }
--- a/packages/scheduling/src/engine_admission/engine_admission.ts
+++ b/packages/scheduling/src/engine_admission/engine_admission.ts
@@ -138,11 +138,18 @@
       enginesByLane.set(lane, engines);
       rejections.push(...this.rejectWithoutEngines(lane, engines, now));
     }
+    const receivedTokens = new Map(this.recentWork.sum(now));
     const placements = placeRequests(enginesByLane, {
       now,
       random: this.random,
       shortestTargetMilliseconds: this.shortestTarget.milliseconds,
-      onStart: (lane, request) => this.recordStart(lane, request, now),
+      receivedTokens,
+      onStart: (lane, request) => {
+        this.recordStart(lane, request, now);
+        const {organisation} = request;
+        const received = receivedTokens.get(organisation) ?? 0;
+        receivedTokens.set(organisation, received + computeCost(request));
+      },
     });
     rejections.push(...this.rejectHopeless(now));
     this.removeEmptyLanes();
--- a/packages/scheduling/src/place_requests/place_requests.ts
+++ b/packages/scheduling/src/place_requests/place_requests.ts
@@ -28,6 +28,8 @@
   readonly random: () => number;
   /** Shortest target latency among the requests of the service. */
   readonly shortestTargetMilliseconds: number;
+  /** Recent work by organisation, in tokens. */
+  readonly receivedTokens: ReadonlyMap<string, number>;
   /** Called for each request that starts; must remove it from its lane. */
   readonly onStart: (lane: AdmissionLane, request: AdmissionRequest) => void;
 }
@@ -51,7 +53,7 @@
   const current = new Map(enginesByLane);
   const openLanes = new Set(enginesByLane.keys());
   for (;;) {
-    const lane = chooseLane(openLanes, options.now);
+    const lane = chooseLane(openLanes, options);
     if (lane === undefined) {
       return placements;
     }
@@ -74,7 +76,7 @@
   engines: readonly T[],
   options: PlaceRequestsOptions,
 ): AdmissionPlacement<T> | undefined {
-  const head = lane.peek(options.now);
+  const head = lane.peek(options.now, options.receivedTokens);
   const placement = head && place(head, engines, options);
   if (placement !== undefined || head?.schedulingClass === 'urgent') {
     return placement;
@@ -103,11 +105,11 @@
 /** Returns the lane whose next request goes first. */
 function chooseLane(
   lanes: ReadonlySet<AdmissionLane>,
-  now: number,
+  {now, receivedTokens}: PlaceRequestsOptions,
 ): AdmissionLane | undefined {
   let best: {lane: AdmissionLane; head: LaneHead} | undefined;
   for (const lane of lanes) {
-    const head = lane.peek(now);
+    const head = lane.peek(now, receivedTokens);
     if (head !== undefined && (!best || isBefore(head, best.head))) {
       best = {lane, head};
     }
