Add the metrics of the queue by organisation

Cause: operators could not see who waits, for how long, who is rejected and whether an organisation receives its share.

Change: briarpin_queue_waiting, briarpin_queue_rejections_total, briarpin_organisation_share and briarpin_queue_alone; the time waited goes into the existing histogram queue_wait_milliseconds. ServiceQueue holds the waiting requests of one service, so that EngineQueue stays short.

--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -151,6 +151,14 @@
     configurationVersion: () => state.storeState.configuration?.version ?? 0,
     storeAgeMilliseconds: () => state.stalenessTracker.ageMilliseconds(),
     readyEndpoints: () => components.endpoints.readyCount,
+    queue: settings.queuesForEngines
+      ? {
+          readOrganisations: () => components.engineQueue.summarise(),
+          isAlone: () =>
+            mesh.knownGateways.length > 0 &&
+            mesh.reachableGateways.length === 0,
+        }
+      : undefined,
   });
   const {logger} = telemetry;
   const components = createForwardingContext(settings, telemetry, state, {
--- a/packages/forwarding/src/engine_queue/engine_queue.test.ts
+++ b/packages/forwarding/src/engine_queue/engine_queue.test.ts
@@ -51,6 +51,8 @@
     endpoints: {findReady: () => this.engines},
     limits: {hasCapacity: () => true},
     shutdown: this.shutdown,
+    histograms: {record: () => undefined},
+    metrics: {countQueueRejection: () => undefined},
     logger: {
       info: (event: string) => this.events.push(event),
       warn: (event: string) => this.events.push(event),
--- a/packages/forwarding/src/engine_queue/engine_queue.ts
+++ b/packages/forwarding/src/engine_queue/engine_queue.ts
@@ -2,39 +2,28 @@
  * Requests that wait at the gateway until an engine has room.
  */
 import type {Clock} from '@briarpin/coordination';
-import {
-  EngineAdmission,
-  type AdmissionRejection,
-  type AdmissionRequest,
-} from '@briarpin/scheduling';
+import type {QueueSummary} from '@briarpin/telemetry';
 
 import {createAdmissionRequest} from '../create_admission_request/create_admission_request.js';
 import {
   createNotSent,
   type EngineAcquisition,
 } from '../engine_acquisition/engine_acquisition.js';
-import type {EndpointCandidate} from '../endpoint_loads/endpoint_loads.js';
 import {
   findUntriedEndpoints,
   type Exchange,
   type ForwardingContext,
 } from '../exchange/exchange.js';
-import {
-  logDequeued,
-  logQueued,
-  logRejectedByQueue,
-} from '../log_admission/log_admission.js';
 import {RunTimes} from '../run_times/run_times.js';
+import {ServiceQueue} from '../service_queue/service_queue.js';
+import {summariseQueue} from '../summarise_queue/summarise_queue.js';
 
 /** Mean interval of the reviews while requests wait. */
 const REVIEW_INTERVAL_MILLISECONDS = 20;
 
-/** Reviews after reports of other gateways are at least this far apart. */
+/** Reviews on the timer and after reports are at least this far apart. */
 const MINIMUM_REVIEW_INTERVAL_MILLISECONDS = 10;
 
-/** Wait from which a request is logged as queued. */
-const LOGGED_WAIT_MILLISECONDS = 50;
-
 /** Options of {@link EngineQueue}. */
 export interface EngineQueueOptions {
   readonly clock: Clock;
@@ -42,21 +31,6 @@
   readonly random: () => number;
 }
 
-interface WaitingRequest {
-  readonly request: AdmissionRequest;
-  readonly exchange: Exchange;
-  readonly context: ForwardingContext;
-  readonly queuedAt: number;
-  isLogged: boolean;
-  readonly settle: (acquisition: EngineAcquisition) => void;
-}
-
-/** Admission of one service and its waiting requests by identifier. */
-interface ServiceQueue {
-  readonly admission: EngineAdmission<EndpointCandidate>;
-  readonly waiting: Map<string, WaitingRequest>;
-}
-
 /**
  * Lets requests wait until the admission of their service starts or rejects
  * them. Reviews the waiting requests when work of this gateway ends, when other
@@ -78,7 +52,7 @@
   /** Number of waiting requests. */
   get size(): number {
     let size = 0;
-    this.services.forEach(({waiting}) => (size += waiting.size));
+    this.services.forEach(service => (size += service.size));
     return size;
   }
 
@@ -129,7 +103,7 @@
   /** Reviews the waiting requests. */
   review(): void {
     this.reviewedAt = this.options.clock.now();
-    this.services.forEach(service => this.reviewService(service));
+    this.services.forEach(service => service.review(this.reviewedAt));
   }
 
   /** Reviews the waiting requests after a report of another gateway. */
@@ -159,107 +133,51 @@
    */
   charge(organisation: string, tokens: number): void {
     const now = this.options.clock.now();
-    this.services.forEach(({admission}) =>
-      admission.charge(organisation, tokens, now),
-    );
+    this.services.forEach(service => service.charge(organisation, tokens, now));
+  }
+
+  /** Summarises the waiting requests and the recent work by organisation. */
+  summarise(): QueueSummary[] {
+    const now = this.options.clock.now();
+    const waiting: string[] = [];
+    const work = new Map<string, number>();
+    for (const service of this.services.values()) {
+      waiting.push(...service.listOrganisations());
+      service
+        .sumRecentWork(now)
+        .forEach((tokens, organisation) =>
+          work.set(organisation, (work.get(organisation) ?? 0) + tokens),
+        );
+    }
+    return summariseQueue(waiting, work);
   }
 
   private submit(
     exchange: Exchange,
     context: ForwardingContext,
-    resolve: (acquisition: EngineAcquisition) => void,
+    onSettled: (acquisition: EngineAcquisition) => void,
   ): void {
-    const now = this.options.clock.now();
-    const service = this.findService(exchange.service.name);
     this.lastIdentifier += 1;
     const request = createAdmissionRequest(exchange, context, {
       id: String(this.lastIdentifier),
       runTimes: this.runTimes,
     });
-    const onAbort = () => {
-      service.admission.withdraw(request);
-      waiting.settle(createNotSent('the caller left or the time is over'));
-    };
-    const waiting: WaitingRequest = {
-      request,
-      exchange,
-      context,
-      queuedAt: now,
-      isLogged: false,
-      settle: acquisition => {
-        exchange.signal.removeEventListener('abort', onAbort);
-        service.waiting.delete(request.id);
-        resolve(acquisition);
-      },
-    };
-    const rejection = service.admission.submit(request, now);
-    if (rejection !== undefined) {
-      reject(waiting, rejection, now);
-      return;
-    }
-    service.waiting.set(request.id, waiting);
-    exchange.signal.addEventListener('abort', onAbort, {once: true});
-    this.reviewService(service);
+    this.findService(exchange.service.name).submit(
+      {request, exchange, context, onSettled},
+      this.options.clock.now(),
+    );
     this.startTimer();
   }
 
   private findService(name: string): ServiceQueue {
     let service = this.services.get(name);
     if (service === undefined) {
-      service = {
-        admission: new EngineAdmission(this.options.random),
-        waiting: new Map(),
-      };
+      service = new ServiceQueue(this.options.random);
       this.services.set(name, service);
     }
     return service;
   }
 
-  private reviewService({admission, waiting}: ServiceQueue): void {
-    if (waiting.size === 0) {
-      return;
-    }
-    const now = this.options.clock.now();
-    const {placements, rejections} = admission.review(now, ({id}) =>
-      findEngines(waiting.get(id)),
-    );
-    for (const {request, endpoint} of placements) {
-      const placed = waiting.get(request.id);
-      if (placed?.isLogged) {
-        logDequeued(placed, now, endpoint.id);
-      }
-      placed?.settle({kind: 'placed', engine: endpoint});
-    }
-    for (const rejection of rejections) {
-      const rejected = waiting.get(rejection.request.id);
-      if (rejected !== undefined) {
-        reject(rejected, rejection, now);
-      }
-    }
-    for (const request of waiting.values()) {
-      this.checkWaiting(request, admission, now);
-    }
-  }
-
-  /** Rejects a request while the gateway shuts down, and logs a long wait. */
-  private checkWaiting(
-    waiting: WaitingRequest,
-    admission: EngineAdmission<EndpointCandidate>,
-    now: number,
-  ): void {
-    const {request, context, queuedAt} = waiting;
-    if (context.shutdown.hasBegun) {
-      admission.withdraw(request);
-      waiting.settle(createNotSent('the gateway shuts down'));
-    } else if (
-      !waiting.isLogged &&
-      now - queuedAt >= LOGGED_WAIT_MILLISECONDS
-    ) {
-      waiting.isLogged = true;
-      logQueued(waiting, now, this.size);
-    }
-  }
-
   private startTimer(): void {
     if (!this.isTimerRunning && this.size > 0) {
       this.isTimerRunning = true;
@@ -273,36 +191,13 @@
       // Gateways that review at different moments do not all fill the same room.
       const interval = REVIEW_INTERVAL_MILLISECONDS * (0.5 + random());
       await clock.sleep(interval);
-      this.review();
+      if (
+        clock.now() - this.reviewedAt >=
+        MINIMUM_REVIEW_INTERVAL_MILLISECONDS
+      ) {
+        this.review();
+      }
     }
     this.isTimerRunning = false;
   }
 }
-
-/** Returns the engines that may run a waiting request now. */
-function findEngines(
-  waiting: WaitingRequest | undefined,
-): readonly EndpointCandidate[] {
-  if (waiting === undefined) {
-    return [];
-  }
-  const {exchange, context} = waiting;
-  return context.loads.computeCandidates(
-    findUntriedEndpoints(exchange, context),
-    exchange.service,
-  );
-}
-
-function reject(
-  waiting: WaitingRequest,
-  rejection: AdmissionRejection,
-  now: number,
-): void {
-  logRejectedByQueue(waiting, rejection, now);
-  waiting.settle(
-    createNotSent(
-      `no engine has room in time: ${rejection.reason}`,
-      rejection.retryAfterMilliseconds,
-    ),
-  );
-}
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -61,7 +61,10 @@
   readonly random: () => number;
   readonly logger: EventLogger;
   readonly histograms: HistogramRegistry;
-  readonly metrics: Pick<GatewayMetrics, 'countRequest'>;
+  readonly metrics: Pick<
+    GatewayMetrics,
+    'countRequest' | 'countQueueRejection'
+  >;
   /** Called when work starts that other gateways must count for placement. */
   readonly onWorkStarted: () => void;
   readonly shutdown: Shutdown;
--- a/packages/forwarding/src/log_admission/log_admission.ts
+++ b/packages/forwarding/src/record_admission/record_admission.ts
@@ -1,5 +1,5 @@
 /**
- * Log lines about requests that wait for an engine.
+ * Records requests that wait for an engine, in the log and the metrics.
  */
 import type {AdmissionRejection, AdmissionRequest} from '@briarpin/scheduling';
 
@@ -9,9 +9,14 @@
 export interface LoggedRequest {
   readonly request: AdmissionRequest;
   readonly exchange: Pick<Exchange, 'metadata' | 'route'>;
-  readonly context: Pick<ForwardingContext, 'logger'>;
+  readonly context: Pick<
+    ForwardingContext,
+    'logger' | 'metrics' | 'histograms'
+  >;
   /** Time at which the wait began, on the monotonic clock. */
   readonly queuedAt: number;
+  /** True once its wait has been logged. */
+  readonly isLogged: boolean;
 }
 
 /** Logs that a request waits. */
@@ -30,27 +35,39 @@
   });
 }
 
-/** Logs that a request which was logged as waiting has an engine. */
-export function logDequeued(
-  {request, exchange, context, queuedAt}: LoggedRequest,
+/** Records the wait of a request that has an engine now. */
+export function recordPlacement(
+  {request, exchange, context, queuedAt, isLogged}: LoggedRequest,
   now: number,
   endpoint: string,
 ): void {
-  context.logger.info('dequeued', {
-    request: exchange.metadata.requestId,
-    route: exchange.route.name,
-    organisation: request.organisation,
-    endpoint,
-    milliseconds: Math.round(now - queuedAt),
-  });
+  const {organisation} = request;
+  const {route, metadata} = exchange;
+  const milliseconds = now - queuedAt;
+  context.histograms.record(
+    'queue_wait_milliseconds',
+    organisation,
+    route.name,
+    milliseconds,
+  );
+  if (isLogged) {
+    context.logger.info('dequeued', {
+      request: metadata.requestId,
+      route: route.name,
+      organisation,
+      endpoint,
+      milliseconds: Math.round(milliseconds),
+    });
+  }
 }
 
-/** Logs that a request is rejected, with the predicted wait and the reason. */
-export function logRejectedByQueue(
+/** Records a rejection with the predicted wait and the deciding reason. */
+export function recordRejection(
   {request, exchange, context, queuedAt}: LoggedRequest,
   {reason, waitMilliseconds, retryAfterMilliseconds}: AdmissionRejection,
   now: number,
 ): void {
+  context.metrics.countQueueRejection(request.organisation, reason);
   context.logger.warn('rejected_by_queue', {
     request: exchange.metadata.requestId,
     route: exchange.route.name,
--- /dev/null
+++ b/packages/forwarding/src/service_queue/service_queue.ts
@@ -0,0 +1,171 @@
+/**
+ * Requests that wait for the engines of one service.
+ */
+import {
+  EngineAdmission,
+  type AdmissionRejection,
+  type AdmissionRequest,
+} from '@briarpin/scheduling';
+
+import type {EndpointCandidate} from '../endpoint_loads/endpoint_loads.js';
+import {
+  createNotSent,
+  type EngineAcquisition,
+} from '../engine_acquisition/engine_acquisition.js';
+import {
+  findUntriedEndpoints,
+  type Exchange,
+  type ForwardingContext,
+} from '../exchange/exchange.js';
+import {
+  logQueued,
+  recordPlacement,
+  recordRejection,
+} from '../record_admission/record_admission.js';
+
+/** Wait from which a request is logged as queued. */
+const LOGGED_WAIT_MILLISECONDS = 50;
+
+/** A request that asks for an engine. */
+export interface QueuedExchange {
+  readonly request: AdmissionRequest;
+  readonly exchange: Exchange;
+  readonly context: ForwardingContext;
+  /** Called once with the outcome. */
+  readonly onSettled: (acquisition: EngineAcquisition) => void;
+}
+
+interface WaitingExchange extends QueuedExchange {
+  readonly queuedAt: number;
+  isLogged: boolean;
+  readonly settle: (acquisition: EngineAcquisition) => void;
+}
+
+/** Holds the waiting requests of one service and settles them in reviews. */
+export class ServiceQueue {
+  private readonly admission: EngineAdmission<EndpointCandidate>;
+  private readonly waiting = new Map<string, WaitingExchange>();
+
+  /**
+   * @param random - Returns a random number in [0, 1)
+   */
+  constructor(random: () => number) {
+    this.admission = new EngineAdmission(random);
+  }
+
+  /** Number of waiting requests. */
+  get size(): number {
+    return this.waiting.size;
+  }
+
+  /** Returns the organisation of each waiting request. */
+  listOrganisations(): string[] {
+    return [...this.waiting.values()].map(({request}) => request.organisation);
+  }
+
+  /** Returns the recent work of all gateways by organisation, in tokens. */
+  sumRecentWork(now: number): ReadonlyMap<string, number> {
+    return this.admission.sumRecentWork(now);
+  }
+
+  /** Charges an organisation for work that it received elsewhere. */
+  charge(organisation: string, tokens: number, now: number): void {
+    this.admission.charge(organisation, tokens, now);
+  }
+
+  /**
+   * Adds a request, and removes it at once when its caller disconnects.
+   *
+   * @param queued - The request
+   * @param now - Monotonic time, in milliseconds
+   */
+  submit(queued: QueuedExchange, now: number): void {
+    const {request, exchange} = queued;
+    const onAbort = () => {
+      this.admission.withdraw(request);
+      waiting.settle(createNotSent('the caller left or the time is over'));
+    };
+    const waiting: WaitingExchange = {
+      ...queued,
+      queuedAt: now,
+      isLogged: false,
+      settle: acquisition => {
+        exchange.signal.removeEventListener('abort', onAbort);
+        this.waiting.delete(request.id);
+        queued.onSettled(acquisition);
+      },
+    };
+    const rejection = this.admission.submit(request, now);
+    if (rejection !== undefined) {
+      reject(waiting, rejection, now);
+      return;
+    }
+    this.waiting.set(request.id, waiting);
+    exchange.signal.addEventListener('abort', onAbort, {once: true});
+    this.review(now);
+  }
+
+  /** Settles the requests that start or cannot be served in their time. */
+  review(now: number): void {
+    if (this.waiting.size === 0) {
+      return;
+    }
+    const {placements, rejections} = this.admission.review(now, ({id}) =>
+      findEngines(this.waiting.get(id)),
+    );
+    for (const {request, endpoint} of placements) {
+      const placed = this.waiting.get(request.id);
+      if (placed !== undefined) {
+        recordPlacement(placed, now, endpoint.id);
+        placed.settle({kind: 'placed', engine: endpoint});
+      }
+    }
+    for (const rejection of rejections) {
+      const rejected = this.waiting.get(rejection.request.id);
+      if (rejected !== undefined) {
+        reject(rejected, rejection, now);
+      }
+    }
+    this.waiting.forEach(waiting => this.checkWaiting(waiting, now));
+  }
+
+  /** Rejects a request while the gateway shuts down, and logs a long wait. */
+  private checkWaiting(waiting: WaitingExchange, now: number): void {
+    const {request, context, queuedAt, isLogged} = waiting;
+    if (context.shutdown.hasBegun) {
+      this.admission.withdraw(request);
+      waiting.settle(createNotSent('the gateway shuts down'));
+    } else if (!isLogged && now - queuedAt >= LOGGED_WAIT_MILLISECONDS) {
+      waiting.isLogged = true;
+      logQueued(waiting, now, this.size);
+    }
+  }
+}
+
+/** Returns the engines that may run a waiting request now. */
+function findEngines(
+  waiting: WaitingExchange | undefined,
+): readonly EndpointCandidate[] {
+  if (waiting === undefined) {
+    return [];
+  }
+  const {exchange, context} = waiting;
+  return context.loads.computeCandidates(
+    findUntriedEndpoints(exchange, context),
+    exchange.service,
+  );
+}
+
+function reject(
+  waiting: WaitingExchange,
+  rejection: AdmissionRejection,
+  now: number,
+): void {
+  recordRejection(waiting, rejection, now);
+  waiting.settle(
+    createNotSent(
+      `no engine has room in time: ${rejection.reason}`,
+      rejection.retryAfterMilliseconds,
+    ),
+  );
+}
--- a/packages/scheduling/src/engine_admission/engine_admission.ts
+++ b/packages/scheduling/src/engine_admission/engine_admission.ts
@@ -174,6 +174,11 @@
     this.lanes.forEach(lane => lane.charge(organisation, tokens));
   }
 
+  /** Returns the recent work of all gateways by organisation, in tokens. */
+  sumRecentWork(now: number): ReadonlyMap<string, number> {
+    return this.recentWork.sum(now);
+  }
+
   private recordStart(
     started: AdmissionLane,
     request: AdmissionRequest,
--- a/packages/telemetry/src/gateway_metrics/gateway_metrics.test.ts
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.test.ts
@@ -38,4 +38,36 @@
       /briarpin_latency_milliseconds\{measure="first_token_milliseconds",organisation="quilters",class="r-1",quantile="0.5"\} 40/,
     );
   });
+
+  it('renders the waiting requests and shares by organisation', async () => {
+    const metrics = createGatewayMetrics(new HistogramRegistry(8), {
+      openRequests: () => 0,
+      configurationVersion: () => 0,
+      storeAgeMilliseconds: () => 0,
+      readyEndpoints: () => 0,
+      queue: {
+        readOrganisations: () => [
+          {
+            organisation: 'north',
+            waiting: 2,
+            receivedShare: 0.7,
+            fairShare: 0.5,
+          },
+        ],
+        isAlone: () => true,
+      },
+    });
+    metrics.countQueueRejection('north', 'predicted_wait');
+    const text = await metrics.render();
+    assert.match(text, /briarpin_queue_waiting\{organisation="north"\} 2/);
+    assert.match(
+      text,
+      /briarpin_organisation_share\{organisation="north",kind="received"\} 0.7/,
+    );
+    assert.match(
+      text,
+      /briarpin_queue_rejections_total\{organisation="north",reason="predicted_wait"\} 1/,
+    );
+    assert.match(text, /briarpin_queue_alone 1/);
+  });
 });
--- a/packages/telemetry/src/gateway_metrics/gateway_metrics.ts
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.ts
@@ -4,9 +4,14 @@
 import {Counter, Gauge, Registry} from 'prom-client';
 
 import type {HistogramRegistry} from '../histogram_registry/histogram_registry.js';
+import {
+  createQueueMetrics,
+  type QueueGauges,
+  type QueueMetrics,
+} from '../queue_metrics/queue_metrics.js';
 
 /** Counters of a gateway and the rendering of all its metrics. */
-export interface GatewayMetrics {
+export interface GatewayMetrics extends QueueMetrics {
   /** Counts an ended request by its outcome and status. */
   readonly countRequest: (outcome: string, status: number) => void;
   /** Counts a log event by its name. */
@@ -24,6 +29,8 @@
   readonly configurationVersion: () => number;
   readonly storeAgeMilliseconds: () => number;
   readonly readyEndpoints: () => number;
+  /** Absent where no request waits for an engine. */
+  readonly queue?: QueueGauges;
 }
 
 /**
@@ -78,6 +85,7 @@
   });
   addLatencies(histograms, registers);
   return {
+    ...createQueueMetrics(registry, gauges.queue),
     countRequest: (outcome, status) =>
       requests.inc({outcome, status: String(status)}),
     countEvent: event => events.inc({event}),
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -10,4 +10,5 @@
 export * from './open_log_stream/open_log_stream.js';
 export * from './parse_log_line/parse_log_line.js';
 export * from './pause_detector/pause_detector.js';
+export * from './queue_metrics/queue_metrics.js';
 export * from './run_task/run_task.js';
