Bound the calls in flight at the endpoints of plain services

Cause: under overload, calls queue at the endpoints past their target latency, and retries are sent that cannot arrive in time.

Change: where requests wait for engines, a call is sent only to an endpoint with a free slot or a queue that it works off in time (findCallRoom); else it waits in the same EngineQueue as streams do. A retry is made only if the mean time of a call is left. Without the flag the choice stays the same synchronous call.

--- a/packages/forwarding/src/create_admission_request/create_admission_request.ts
+++ b/packages/forwarding/src/create_admission_request/create_admission_request.ts
@@ -11,6 +11,9 @@
 } from '../exchange/exchange.js';
 import type {RunTimes} from '../run_times/run_times.js';
 
+/** Work of a call to a plain service, in tokens; all calls count the same. */
+const CALL_TOKENS = 1;
+
 /** Weight of each organisation; the configuration states none. */
 const ORGANISATION_WEIGHT = 1;
 
@@ -26,22 +29,23 @@
   {loads}: Pick<ForwardingContext, 'loads'>,
   {id, runTimes}: {readonly id: string; readonly runTimes: RunTimes},
 ): AdmissionRequest {
-  const {metadata, route, organisation, arrivedAt, expiresAt} = exchange;
-  const outputTokens = estimateOutputTokens(exchange);
-  const prefillMilliseconds =
-    metadata.promptTokens * loads.prefillMillisecondsPerToken;
+  const {route, organisation, arrivedAt, expiresAt} = exchange;
+  const isCall = exchange.service.engine === undefined;
+  const promptTokens = isCall ? 0 : exchange.metadata.promptTokens;
+  const outputTokens = isCall ? CALL_TOKENS : estimateOutputTokens(exchange);
+  const prefillMilliseconds = promptTokens * loads.prefillMillisecondsPerToken;
   return {
     id,
     lane: createLane(exchange),
     organisation: organisation?.name ?? 'public',
     weight: ORGANISATION_WEIGHT,
     priority: resolvePriority(exchange),
-    promptTokens: metadata.promptTokens,
+    promptTokens,
     outputTokens,
     prefillMilliseconds,
     runMilliseconds: Math.max(
       prefillMilliseconds,
-      runTimes.estimate(route.name, outputTokens),
+      runTimes.estimate(route.name, isCall ? 0 : outputTokens),
     ),
     arrivedAt,
     targetLatencyMilliseconds: route.targetLatencyMilliseconds,
--- a/packages/forwarding/src/engine_queue/engine_queue.test.ts
+++ b/packages/forwarding/src/engine_queue/engine_queue.test.ts
@@ -67,6 +67,7 @@
       timeoutMilliseconds?: number;
       triedEndpointIds?: string[];
       origin?: {service: string; softwareVersion: string};
+      isCall?: boolean;
     } = {},
   ): {outcome?: EngineAcquisition; controller: AbortController} {
     const controller = new AbortController();
@@ -84,7 +85,7 @@
         priority: overrides.priority ?? 2,
         targetLatencyMilliseconds: 4_000,
       },
-      service: SERVICE,
+      service: overrides.isCall ? {name: 'desk'} : SERVICE,
       arrivedAt,
       expiresAt: arrivedAt + timeoutMilliseconds,
       signal: controller.signal,
@@ -269,4 +270,29 @@
     assert.equal(expired.outcome?.kind, 'failed');
     assert.equal(valid.outcome?.kind, 'placed');
   });
+
+  describe('calls to a plain service', () => {
+    it('wait at the gateway beyond what the endpoint works off in time', async () => {
+      const gateway = new TestGateway();
+      gateway.loads.add('e1', {requests: 24});
+      const call = gateway.submit({isCall: true, timeoutMilliseconds: 1_000});
+      await gateway.clock.advance(100);
+      assert.ok(isWaiting(call));
+      gateway.loads.remove('e1', {requests: 20});
+      gateway.queue.requestReview();
+      await gateway.clock.advance(0);
+      assert.equal(call.outcome?.kind, 'placed');
+    });
+
+    it('are rejected when they can no longer be answered in time', async () => {
+      const gateway = new TestGateway();
+      gateway.queue.recordRun('guide', 0, 300);
+      gateway.loads.add('e1', {requests: 24});
+      const call = gateway.submit({isCall: true, timeoutMilliseconds: 1_000});
+      await gateway.clock.advance(680);
+      assert.ok(isWaiting(call));
+      await gateway.clock.advance(60);
+      assert.equal(call.outcome?.kind, 'failed');
+    });
+  });
 });
--- a/packages/forwarding/src/engine_queue/engine_queue.ts
+++ b/packages/forwarding/src/engine_queue/engine_queue.ts
@@ -1,7 +1,9 @@
 /**
- * Requests that wait at the gateway until an engine has room.
+ * Requests that wait at the gateway until an engine, or an endpoint of a plain
+ * service, has room.
  */
-import type {Clock} from '@briarpin/coordination';
+import type {Clock, RoutedService} from '@briarpin/coordination';
+import {findCallRoom, findEngineRoom} from '@briarpin/scheduling';
 import type {QueueSummary} from '@briarpin/telemetry';
 
 import {createAdmissionRequest} from '../create_admission_request/create_admission_request.js';
@@ -125,6 +127,17 @@
     this.runTimes.record(route, outputTokens, milliseconds);
   }
 
+  /**
+   * Estimates how long a run takes.
+   *
+   * @param route - Name of its route
+   * @param outputTokens - Tokens that it is expected to generate; 0 for a call
+   * @returns Milliseconds; 0 while no run of the route has ended
+   */
+  estimateRun(route: string, outputTokens: number): number {
+    return this.runTimes.estimate(route, outputTokens);
+  }
+
   /**
    * Charges an organisation for work that it received through other gateways.
    *
@@ -162,17 +175,18 @@
       id: String(this.lastIdentifier),
       runTimes: this.runTimes,
     });
-    this.findService(exchange.service.name).submit(
+    this.findService(exchange.service).submit(
       {request, exchange, context, onSettled},
       this.options.clock.now(),
     );
     this.startTimer();
   }
 
-  private findService(name: string): ServiceQueue {
+  private findService({name, engine}: RoutedService): ServiceQueue {
     let service = this.services.get(name);
     if (service === undefined) {
-      service = new ServiceQueue(this.options.random);
+      const findRoom = engine === undefined ? findCallRoom : findEngineRoom;
+      service = new ServiceQueue(this.options.random, findRoom);
       this.services.set(name, service);
     }
     return service;
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -1,8 +1,7 @@
 /**
  * Forwards calls whose response is a single body.
  */
-import {selectEndpoint} from '@briarpin/scheduling';
-
+import {acquireCallEndpoint} from '../acquire_call_endpoint/acquire_call_endpoint.js';
 import {bufferBody} from '../buffer_body/buffer_body.js';
 import {
   type Attempt,
@@ -12,7 +11,6 @@
 import {
   failExchange,
   sendBufferedResponse,
-  findUntriedEndpoints,
   logFailedAttempt,
   computeRemainingMilliseconds,
   computeRetryAfterMilliseconds,
@@ -22,6 +20,7 @@
   type BufferedResponse,
 } from '../exchange/exchange.js';
 import {logUnframedEnd} from '../log_attempts/log_attempts.js';
+import type {AttemptFailure} from '../open_result/open_result.js';
 import {permitRetry} from '../permit_retry/permit_retry.js';
 
 /**
@@ -54,11 +53,19 @@
   let sendCount = 0;
   let mayHaveRun = false;
   let failure: CallResult | undefined;
+  let notSent: AttemptFailure | undefined;
   for (;;) {
-    const endpointChoice = chooseCallEndpoint(exchange, context);
-    if (endpointChoice === undefined) {
+    const acquisition = acquireCallEndpoint(exchange, context);
+    const acquired =
+      acquisition instanceof Promise ? await acquisition : acquisition;
+    if (acquired.kind === 'failed' && exchange.response.destroyed) {
+      return {outcome: 'left', status: 0, reason: acquired.reason};
+    }
+    if (acquired.kind !== 'placed') {
+      notSent = acquired.kind === 'failed' ? acquired : undefined;
       break;
     }
+    const endpointChoice = acquired.engine;
     exchange.triedEndpointIds.push(endpointChoice.id);
     const result = await sendCall(exchange, context, endpointChoice);
     recordRun(exchange, context, endpointChoice, result);
@@ -77,12 +84,14 @@
     failure = result;
     sendCount += result.kind === 'not_run' && !result.wasSent ? 0 : 1;
     mayHaveRun ||= result.kind !== 'not_run';
-    const mayRetry = permitRetry(exchange, context, {
-      isNotRun: result.kind === 'not_run',
-      isIdempotent: exchange.route.repeatability === 'idempotent',
-      sendCount,
-      wasSent: sendCount > 0,
-    });
+    const mayRetry =
+      canAnswerInTime(exchange, context) &&
+      permitRetry(exchange, context, {
+        isNotRun: result.kind === 'not_run',
+        isIdempotent: exchange.route.repeatability === 'idempotent',
+        sendCount,
+        wasSent: sendCount > 0,
+      });
     if (!mayRetry) {
       break;
     }
@@ -91,27 +100,27 @@
     return sendBufferedResponse(exchange, context, failure);
   }
   return failExchange(exchange, context, {
-    reason: failure?.reason ?? 'no endpoint takes work',
+    reason: failure?.reason ?? notSent?.reason ?? 'no endpoint takes work',
     mayHaveRun,
-    retryAfterMilliseconds: computeRetryAfterMilliseconds(
-      exchange,
-      context,
-      OVERLOAD_RETRY_MILLISECONDS,
-    ),
+    retryAfterMilliseconds:
+      notSent?.retryAfterMilliseconds ??
+      computeRetryAfterMilliseconds(
+        exchange,
+        context,
+        OVERLOAD_RETRY_MILLISECONDS,
+      ),
   });
 }
 
-function chooseCallEndpoint(
+/** Returns whether a retry can still arrive before the deadline. */
+function canAnswerInTime(
   exchange: Exchange,
   context: ForwardingContext,
-): EndpointCandidate | undefined {
-  const entries = findUntriedEndpoints(exchange, context);
-  return selectEndpoint(
-    context.loads.computeCandidates(entries, exchange.service),
-    {
-      random: context.random,
-      neededTokens: 0,
-    },
+): boolean {
+  return (
+    !context.queuesForEngines() ||
+    context.engineQueue.estimateRun(exchange.route.name, 0) <
+      computeRemainingMilliseconds(exchange, context)
   );
 }
 
@@ -155,6 +164,10 @@
       });
     }
     const failed = !isSuccess(result);
+    if (!failed && context.queuesForEngines()) {
+      const milliseconds = clock.now() - sentAt;
+      context.engineQueue.recordRun(exchange.route.name, 0, milliseconds);
+    }
     loads.recordOutcome(
       entry.id,
       failed,
@@ -163,6 +176,7 @@
     return result;
   } finally {
     loads.remove(entry.id, {requests: 1});
+    context.engineQueue.requestReview();
   }
 }
 
--- a/packages/forwarding/src/service_queue/service_queue.ts
+++ b/packages/forwarding/src/service_queue/service_queue.ts
@@ -1,10 +1,11 @@
 /**
- * Requests that wait for the engines of one service.
+ * Requests that wait for the endpoints of one service.
  */
 import {
   EngineAdmission,
   type AdmissionRejection,
   type AdmissionRequest,
+  type FindRoom,
 } from '@briarpin/scheduling';
 
 import type {EndpointCandidate} from '../endpoint_loads/endpoint_loads.js';
@@ -48,9 +49,10 @@
 
   /**
    * @param random - Returns a random number in [0, 1)
+   * @param findRoom - Finds the endpoints with room
    */
-  constructor(random: () => number) {
-    this.admission = new EngineAdmission(random);
+  constructor(random: () => number, findRoom: FindRoom) {
+    this.admission = new EngineAdmission(random, findRoom);
   }
 
   /** Number of waiting requests. */
--- a/packages/scheduling/src/engine_admission/engine_admission.ts
+++ b/packages/scheduling/src/engine_admission/engine_admission.ts
@@ -7,6 +7,15 @@
   computeCost,
   type AdmissionRequest,
 } from '../admission_lane/admission_lane.js';
+import {
+  createRejection,
+  type AdmissionRejection,
+  type AdmissionRejectionReason,
+} from '../create_rejection/create_rejection.js';
+import {
+  findEngineRoom,
+  type FindRoom,
+} from '../find_engine_room/find_engine_room.js';
 import {
   placeRequests,
   type AdmissionPlacement,
@@ -31,29 +40,9 @@
  */
 const PREDICTION_TOLERANCE = 1.25;
 
-/** Largest random addition to a predicted wait, so that callers spread out. */
-const RETRY_JITTER_SHARE = 0.25;
-
-/** Shortest time after which a rejected request should come again. */
-const MINIMUM_RETRY_MILLISECONDS = 500;
-
 /** Time for which the shortest target latency of a service is remembered. */
 const TARGET_MEMORY_MILLISECONDS = 60_000;
 
-/** Why a request is rejected. */
-export type AdmissionRejectionReason =
-  'predicted_wait' | 'no_time_left' | 'no_engine';
-
-/** A request that is not served. */
-export interface AdmissionRejection {
-  readonly request: AdmissionRequest;
-  readonly reason: AdmissionRejectionReason;
-  /** Predicted wait, in milliseconds. */
-  readonly waitMilliseconds: number;
-  /** Time after which it may come again, with jitter. */
-  readonly retryAfterMilliseconds: number;
-}
-
 /** What a review has decided. */
 export interface AdmissionReview<T extends EndpointState> {
   readonly placements: readonly AdmissionPlacement<T>[];
@@ -76,8 +65,12 @@
 
   /**
    * @param random - Returns a random number in [0, 1)
+   * @param findRoom - Finds the endpoints with room; those of engines by default
    */
-  constructor(private readonly random: () => number) {}
+  constructor(
+    private readonly random: () => number,
+    private readonly findRoom: FindRoom = findEngineRoom,
+  ) {}
 
   /** Number of waiting requests. */
   get size(): number {
@@ -142,6 +135,7 @@
     const placements = placeRequests(enginesByLane, {
       now,
       random: this.random,
+      findRoom: this.findRoom,
       shortestTargetMilliseconds: this.shortestTarget.milliseconds,
       receivedTokens,
       onStart: (lane, request) => {
@@ -261,10 +255,8 @@
     reason: AdmissionRejectionReason,
     waitMilliseconds: number,
   ): AdmissionRejection {
-    const jitter = 1 + this.random() * RETRY_JITTER_SHARE;
-    const retryAfterMilliseconds =
-      Math.max(MINIMUM_RETRY_MILLISECONDS, waitMilliseconds) * jitter;
-    return {request, reason, waitMilliseconds, retryAfterMilliseconds};
+    const {random} = this;
+    return createRejection(request, {reason, waitMilliseconds, random});
   }
 
   private recordTarget(request: AdmissionRequest, now: number): void {
--- a/packages/scheduling/src/find_engine_room/find_engine_room.ts
+++ b/packages/scheduling/src/find_engine_room/find_engine_room.ts
@@ -33,6 +33,12 @@
   readonly shortestTargetMilliseconds: number;
 }
 
+/** Finds the endpoints that have room for a request. */
+export type FindRoom = <T extends EndpointState>(
+  endpoints: readonly T[],
+  demand: EngineDemand,
+) => T[];
+
 /**
  * Finds the engines that have room for a request: an idle engine has room for
  * any; another one has room if it accepts more requests, if the expected memory
--- a/packages/scheduling/src/place_requests/place_requests.ts
+++ b/packages/scheduling/src/place_requests/place_requests.ts
@@ -7,7 +7,7 @@
   type AdmissionRequest,
   type LaneHead,
 } from '../admission_lane/admission_lane.js';
-import {findEngineRoom} from '../find_engine_room/find_engine_room.js';
+import type {FindRoom} from '../find_engine_room/find_engine_room.js';
 import {REQUEST_CLASSES} from '../request/request.js';
 import {
   selectEndpoint,
@@ -28,6 +28,8 @@
   readonly random: () => number;
   /** Shortest target latency among the requests of the service. */
   readonly shortestTargetMilliseconds: number;
+  /** Finds the endpoints with room. */
+  readonly findRoom: FindRoom;
   /** Recent work by organisation, in tokens. */
   readonly receivedTokens: ReadonlyMap<string, number>;
   /** Called for each request that starts; must remove it from its lane. */
@@ -88,11 +90,11 @@
 function place<T extends EndpointState>(
   {request, usesReserves}: LaneHead,
   engines: readonly T[],
-  {random, shortestTargetMilliseconds}: PlaceRequestsOptions,
+  {random, findRoom, shortestTargetMilliseconds}: PlaceRequestsOptions,
 ): AdmissionPlacement<T> | undefined {
   const tokens = computeCost(request);
   const {prefillMilliseconds} = request;
-  const room = findEngineRoom(engines, {
+  const room = findRoom(engines, {
     tokens,
     prefillMilliseconds,
     usesReserves,
--- a/packages/scheduling/src/recent_work/recent_work.ts
+++ b/packages/scheduling/src/recent_work/recent_work.ts
@@ -56,8 +56,11 @@
   }
 
   private removeOld(now: number): void {
-    this.intervals = this.intervals.filter(
-      ({startedAt}) => now - startedAt < WINDOW_MILLISECONDS,
-    );
+    const [oldest] = this.intervals;
+    if (oldest !== undefined && now - oldest.startedAt >= WINDOW_MILLISECONDS) {
+      this.intervals = this.intervals.filter(
+        ({startedAt}) => now - startedAt < WINDOW_MILLISECONDS,
+      );
+    }
   }
 }
