--- a/packages/scheduling/src/find_engine_room/find_engine_room.ts
+++ b/packages/scheduling/src/find_engine_room/find_engine_room.ts
@@ -16,10 +16,13 @@
  * may take when less urgent work is added. The rest is left for the prompt of an
  * urgent request.
  */
-const PROMPT_SHARE = 0.7;
+const PROMPT_SHARE = 0.6;
 
-/** The same share for urgent work; the rest covers errors of the prediction. */
-const URGENT_PROMPT_SHARE = 0.9;
+/**
+ * The same share for urgent work. Above 1, because reports of other gateways
+ * still contain prompts that were read up to 0.3 s ago.
+ */
+const URGENT_PROMPT_SHARE = 1.2;
 
 /** What a request needs of an engine. */
 export interface EngineDemand {
