--- a/packages/daemon/src/machine/create_forwarding_context.ts
+++ b/packages/daemon/src/machine/create_forwarding_context.ts
@@ -15,7 +15,9 @@
   EndpointEligibility,
   EndpointLimits,
   EndpointLoads,
+  EngineQueue,
   GatewayReturns,
+  OrganisationWorkCounts,
   RequestDurations,
   RetryBudgets,
   Shutdown,
@@ -151,5 +153,8 @@
     shutdown: new Shutdown(clock),
     durations: new RequestDurations(),
     gatewayReturns: new GatewayReturns({clock, reachableGateways}),
+    queuesForEngines: () => settings.queuesForEngines,
+    engineQueue: new EngineQueue({clock, random: Math.random}),
+    organisationWork: new OrganisationWorkCounts(() => clock.now()),
   };
 }
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -29,8 +29,10 @@
 } from '../endpoint_eligibility/endpoint_eligibility.js';
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
+import type {EngineQueue} from '../engine_queue/engine_queue.js';
 import type {GatewayReturns} from '../gateway_returns/gateway_returns.js';
 import {listSharedParts} from '../list_shared_parts/list_shared_parts.js';
+import type {OrganisationWorkCounts} from '../organisation_work/organisation_work.js';
 import type {RequestDurations} from '../request_durations/request_durations.js';
 import type {RetryBudgets} from '../retry_budgets/retry_budgets.js';
 import type {Shutdown} from '../shutdown/shutdown.js';
@@ -69,13 +71,19 @@
   readonly histograms: HistogramRegistry;
   readonly metrics: Pick<
     GatewayMetrics,
-    'countRequest' | 'countUnallowedRequest'
+    'countRequest' | 'countUnallowedRequest' | 'countQueueRejection'
   >;
   /** Called when work starts that other gateways must count for placement. */
   readonly onWorkStarted: () => void;
   readonly shutdown: Shutdown;
   /** When the other gateways are expected to return that stop. */
   readonly gatewayReturns: GatewayReturns;
+  /** True if requests wait at the gateway while no engine has room. */
+  readonly queuesForEngines: () => boolean;
+  /** Requests that wait for an engine. */
+  readonly engineQueue: EngineQueue;
+  /** Work by organisation; counted if requests wait for engines. */
+  readonly organisationWork: OrganisationWorkCounts;
 }
 
 /** One admitted request. */
--- a/packages/forwarding/src/explain_rejection/explain_rejection.test.ts
+++ b/packages/forwarding/src/explain_rejection/explain_rejection.test.ts
@@ -18,6 +18,7 @@
   const metrics: ForwardingContext['metrics'] = {
     countRequest: () => undefined,
     countUnallowedRequest: organisation => counted.push(organisation),
+    countQueueRejection: () => undefined,
   };
   const eligibility = createEligibility({
     entries: [createEntry('e', 'east-1')],
