Check a placed request against its own engines and time whole runs

Cause: requests of one lane are placed at the engines of its first request; a configuration that changes while they wait may exclude one of them. Runs that failed before their first event counted with their short time, which predicted that too little time is needed.

Change: a placed request whose engines exclude the chosen one waits in a lane of its own. The duration of runs is the time per token that was generated, of runs with at least one event.

--- a/packages/forwarding/src/count_engine_work/count_engine_work.ts
+++ b/packages/forwarding/src/count_engine_work/count_engine_work.ts
@@ -3,10 +3,7 @@
  */
 import type {EndpointEntry} from '@briarpin/coordination';
 
-import {
-  estimateMemoryTokens,
-  estimateOutputTokens,
-} from '../choose_placement/choose_placement.js';
+import {estimateMemoryTokens} from '../choose_placement/choose_placement.js';
 import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
 
 /** Events of a run after which its output is counted for its organisation. */
@@ -75,56 +72,62 @@
     },
     release: () => {
       completePrefill();
-      received.flush();
       loads.remove(endpoint.id, {requests: 1, tokens});
       if (checkpointHolder !== undefined) {
         loads.remove(checkpointHolder.id, {tokens});
       }
-      if (context.queuesForEngines()) {
-        reportEnd(exchange, context, clock.now() - sentAt);
-      }
+      received.end(clock.now() - sentAt);
     },
   };
 }
 
-/** Tells the queue that a run has ended, which may leave room for others. */
-function reportEnd(
-  exchange: Exchange,
-  {engineQueue}: Pick<ForwardingContext, 'engineQueue'>,
-  milliseconds: number,
-): void {
-  const tokens = estimateOutputTokens(exchange);
-  engineQueue.recordRun(exchange.route.name, tokens, milliseconds);
-  engineQueue.requestReview();
+/** Records what an organisation receives by a run. */
+interface ReceivedWork {
+  readonly recordEvent: () => void;
+  /** Called at the end of the run with the time since it was sent. */
+  readonly end: (milliseconds: number) => void;
 }
 
 /**
- * Counts what the organisation receives by a run, if requests wait for engines.
- * Output is counted in steps, because each count updates the recent work.
+ * Counts what the organisation receives by a run, and tells the queue when the
+ * run has ended, if requests wait for engines. Output is counted in steps,
+ * because each count updates the recent work.
  */
 function createReceivedWork(
-  {organisation, service}: Exchange,
-  {organisationWork, queuesForEngines}: ForwardingContext,
+  {organisation, service, route}: Exchange,
+  {organisationWork, queuesForEngines, engineQueue}: ForwardingContext,
   promptTokens: number,
-): {readonly recordEvent: () => void; readonly flush: () => void} {
+): ReceivedWork {
   if (!queuesForEngines()) {
-    return {recordEvent: () => undefined, flush: () => undefined};
+    return {recordEvent: () => undefined, end: () => undefined};
   }
   const name = organisation?.name ?? 'public';
   const tokensPerEvent = service.engine?.tokensPerEvent ?? 1;
   let events = 0;
-  const flush = () => {
-    organisationWork.add(name, events * tokensPerEvent);
-    events = 0;
+  let countedEvents = 0;
+  const countOutput = () => {
+    organisationWork.add(name, (events - countedEvents) * tokensPerEvent);
+    countedEvents = events;
   };
   organisationWork.add(name, promptTokens);
   return {
     recordEvent: () => {
       events += 1;
-      if (events >= EVENTS_PER_COUNT) {
-        flush();
+      if (events - countedEvents >= EVENTS_PER_COUNT) {
+        countOutput();
+      }
+    },
+    end: milliseconds => {
+      countOutput();
+      // A run that failed before its first event shows no duration.
+      if (events > 0) {
+        engineQueue.recordRun(
+          route.name,
+          events * tokensPerEvent,
+          milliseconds,
+        );
       }
+      engineQueue.requestReview();
     },
-    flush,
   };
 }
--- a/packages/forwarding/src/engine_queue/engine_queue.test.ts
+++ b/packages/forwarding/src/engine_queue/engine_queue.test.ts
@@ -237,6 +237,26 @@
     });
   });
 
+  it('does not place a request where a new configuration forbids it', async () => {
+    const gateway = new TestGateway();
+    gateway.engines = [createEntry('e1'), createEntry('e2')];
+    gateway.fill('e1');
+    gateway.fill('e2');
+    const forbidden: string[] = [];
+    const first = gateway.submit();
+    const restricted = gateway.submit({triedEndpointIds: forbidden});
+    await gateway.clock.advance(60);
+    forbidden.push('e1');
+    gateway.release('e1');
+    await gateway.clock.advance(60);
+    assert.equal(first.outcome?.kind, 'placed');
+    assert.ok(isWaiting(restricted));
+    gateway.release('e2');
+    await gateway.clock.advance(60);
+    assert.ok(restricted.outcome?.kind === 'placed');
+    assert.equal(restricted.outcome.engine.id, 'e2');
+  });
+
   it('goes on without the work that a silent gateway reported', async () => {
     const gateway = new TestGateway();
     gateway.loads.setGatewayWork(
--- a/packages/forwarding/src/engine_queue/engine_queue.ts
+++ b/packages/forwarding/src/engine_queue/engine_queue.ts
@@ -120,7 +120,7 @@
    * Records that a run has ended at an engine.
    *
    * @param route - Name of its route
-   * @param outputTokens - Tokens that it was expected to generate
+   * @param outputTokens - Tokens that it generated; 0 for a call
    * @param milliseconds - Time since it was sent
    */
   recordRun(route: string, outputTokens: number, milliseconds: number): void {
--- a/packages/forwarding/src/run_times/run_times.ts
+++ b/packages/forwarding/src/run_times/run_times.ts
@@ -16,7 +16,7 @@
    * Records a run that has ended.
    *
    * @param route - Name of the route
-   * @param tokens - Tokens that it was expected to generate
+   * @param tokens - Tokens that it generated; 0 for a call
    * @param milliseconds - Time since it was sent
    */
   record(route: string, tokens: number, milliseconds: number): void {
--- a/packages/forwarding/src/service_queue/service_queue.ts
+++ b/packages/forwarding/src/service_queue/service_queue.ts
@@ -37,6 +37,8 @@
 }
 
 interface WaitingExchange extends QueuedExchange {
+  /** Changes when the request can no longer run at the engines of its lane. */
+  request: AdmissionRequest;
   readonly queuedAt: number;
   isLogged: boolean;
   readonly settle: (acquisition: EngineAcquisition) => void;
@@ -84,7 +86,7 @@
   submit(queued: QueuedExchange, now: number): void {
     const {request, exchange} = queued;
     const onAbort = () => {
-      this.admission.withdraw(request);
+      this.admission.withdraw(waiting.request);
       waiting.settle(createNotSent('the caller left or the time is over'));
     };
     const waiting: WaitingExchange = {
@@ -118,8 +120,7 @@
     for (const {request, endpoint} of placements) {
       const placed = this.waiting.get(request.id);
       if (placed !== undefined) {
-        recordPlacement(placed, now, endpoint.id);
-        placed.settle({kind: 'placed', engine: endpoint});
+        this.place(placed, endpoint, now);
       }
     }
     for (const rejection of rejections) {
@@ -131,6 +132,29 @@
     this.waiting.forEach(waiting => this.checkWaiting(waiting, now));
   }
 
+  /**
+   * Settles a placed request. A change of the configuration may have excluded
+   * it from the engines of its lane; it then waits in a lane of its own.
+   */
+  private place(
+    placed: WaitingExchange,
+    engine: EndpointCandidate,
+    now: number,
+  ): void {
+    const {request, exchange, context} = placed;
+    const allowed = findUntriedEndpoints(exchange, context);
+    if (allowed.some(({id}) => id === engine.id)) {
+      recordPlacement(placed, now, engine.id);
+      placed.settle({kind: 'placed', engine});
+      return;
+    }
+    placed.request = {...request, lane: `${request.lane} ${request.id}`};
+    const rejection = this.admission.submit(placed.request, now);
+    if (rejection !== undefined) {
+      reject(placed, rejection, now);
+    }
+  }
+
   /** Rejects a request while the gateway shuts down, and logs a long wait. */
   private checkWaiting(waiting: WaitingExchange, now: number): void {
     const {request, context, queuedAt, isLogged} = waiting;
