Let the route decide among organisations of equal priority in the admission queue

Cause: where most organisations have the same priority, which replaces that of the route, short urgent requests waited behind long ones. A request that was about to miss its target latency waited on for a reserve that its expected memory did not need.

Change: the queue orders by the priority of the organisation, then by whether the route is the most urgent. A due request may use the reserves.

--- a/packages/forwarding/src/create_admission_request/create_admission_request.ts
+++ b/packages/forwarding/src/create_admission_request/create_admission_request.ts
@@ -1,14 +1,13 @@
 /**
  * Describes a request to the admission before the engines.
  */
-import type {AdmissionRequest} from '@briarpin/scheduling';
+import {
+  computeAdmissionPriority,
+  type AdmissionRequest,
+} from '@briarpin/scheduling';
 
 import {estimateOutputTokens} from '../choose_placement/choose_placement.js';
-import {
-  resolvePriority,
-  type Exchange,
-  type ForwardingContext,
-} from '../exchange/exchange.js';
+import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
 import type {RunTimes} from '../run_times/run_times.js';
 
 /** Work of a call to a plain service, in tokens; all calls count the same. */
@@ -39,7 +38,10 @@
     lane: createLane(exchange),
     organisation: organisation?.name ?? 'public',
     weight: ORGANISATION_WEIGHT,
-    priority: resolvePriority(exchange),
+    priority: computeAdmissionPriority({
+      organisation: organisation?.priority,
+      route: route.priority,
+    }),
     promptTokens,
     outputTokens,
     prefillMilliseconds,
--- a/packages/forwarding/src/engine_queue/engine_queue.test.ts
+++ b/packages/forwarding/src/engine_queue/engine_queue.test.ts
@@ -8,6 +8,7 @@
 import {VirtualClock, type EndpointEntry} from '@briarpin/coordination';
 
 import type {EngineAcquisition} from '../engine_acquisition/engine_acquisition.js';
+import {createEligibility} from '../endpoint_eligibility/eligibility_fixture.js';
 import {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
 import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
 import {EngineQueue} from './engine_queue.js';
@@ -48,8 +49,13 @@
     clock: this.clock,
     random: () => 0.5,
     loads: this.loads,
-    endpoints: {findReady: () => this.engines},
-    limits: {hasCapacity: () => true},
+    eligibility: createEligibility({
+      entries: [],
+      endpoints: {
+        findReady: () => this.engines,
+        hasOtherSoftware: () => false,
+      },
+    }),
     shutdown: this.shutdown,
     histograms: {record: () => undefined},
     metrics: {countQueueRejection: () => undefined},
--- a/packages/scheduling/src/admission_lane/admission_lane.ts
+++ b/packages/scheduling/src/admission_lane/admission_lane.ts
@@ -198,13 +198,13 @@
     const onTime = this.onTime.peek(now, () => true);
     const late = this.late.peek(now, () => true);
     if (onTime === undefined || late === undefined) {
-      return this.toHead(onTime ?? late);
+      return this.toHead(onTime ?? late, now);
     }
     const difference = indexOfClass(late) - indexOfClass(onTime);
     const goesFirst =
       difference < 0 ||
       (difference === 0 && hasReceivedLess(late, onTime, received));
-    return this.toHead(goesFirst ? late : onTime);
+    return this.toHead(goesFirst ? late : onTime, now);
   }
 
   /** Returns the urgent request that starts next. */
@@ -212,10 +212,14 @@
     return this.toHead(
       this.onTime.peekUrgent(now, () => true) ??
         this.late.peekUrgent(now, () => true),
+      now,
     );
   }
 
-  private toHead(queued: QueuedRequest | undefined): LaneHead | undefined {
+  private toHead(
+    queued: QueuedRequest | undefined,
+    now: number,
+  ): LaneHead | undefined {
     const waiting = queued && this.waiting.get(queued.request.id);
     if (waiting === undefined) {
       return undefined;
@@ -227,7 +231,12 @@
     const takesMinimumShare =
       schedulingClass !== 'urgent' &&
       this.onTime.peekUrgent(0, () => true) !== undefined;
-    const usesReserves = schedulingClass === 'urgent' || takesMinimumShare;
+    // Estimates count an output as a whole from its start, so that a request that
+    // would miss its target latency rarely exceeds the memory in the reserves.
+    const isDue =
+      !isLate && computeLatestStart(request) - DUE_MILLISECONDS <= now;
+    const usesReserves =
+      schedulingClass === 'urgent' || takesMinimumShare || isDue;
     return {request, schedulingClass, isLate, usesReserves};
   }
 
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -6,6 +6,7 @@
 export * from './admission_rules/admission_rules.js';
 export * from './byte_budget/byte_budget.js';
 export * from './choose_endpoint/choose_endpoint.js';
+export * from './compute_admission_priority/compute_admission_priority.js';
 export * from './compute_cold_share/compute_cold_share.js';
 export * from './compute_engine_priority/compute_engine_priority.js';
 export * from './compute_return_delay/compute_return_delay.js';
