Count the memory of runs by its mean where requests queue for engines

Cause: the queue compared the sum of the final sizes of all runs with the memory of an engine. Runs are at different points, so a part of the memory stayed unused, and long requests waited for it beyond their target latency.

Change: with the queue, a run counts its prompt and half of its expected output.

--- a/packages/forwarding/src/count_engine_work/count_engine_work.ts
+++ b/packages/forwarding/src/count_engine_work/count_engine_work.ts
@@ -3,7 +3,12 @@
  */
 import type {EndpointEntry} from '@briarpin/coordination';
 
-import {estimateMemoryTokens} from '../choose_placement/choose_placement.js';
+import {computeMeanMemory} from '@briarpin/scheduling';
+
+import {
+  estimateMemoryTokens,
+  estimateOutputTokens,
+} from '../choose_placement/choose_placement.js';
 import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
 
 /** Events of a run after which its output is counted for its organisation. */
@@ -40,7 +45,12 @@
   {endpoint, checkpointHolder, hasMemory}: EngineWork,
 ): CountedWork {
   const {loads, clock} = context;
-  const tokens = estimateMemoryTokens(exchange);
+  const tokens = context.queuesForEngines()
+    ? computeMeanMemory({
+        promptTokens: exchange.metadata.promptTokens,
+        outputTokens: estimateOutputTokens(exchange),
+      })
+    : estimateMemoryTokens(exchange);
   const promptTokens = hasMemory ? 0 : exchange.metadata.promptTokens;
   const prefillTokens =
     loads.countPendingPromptTokens(endpoint.id) + promptTokens;
--- a/packages/scheduling/src/admission_lane/admission_lane.ts
+++ b/packages/scheduling/src/admission_lane/admission_lane.ts
@@ -68,6 +68,21 @@
   return request.promptTokens + request.outputTokens;
 }
 
+/**
+ * Share of its output that a run holds on average over its time. The runs of an
+ * engine are at different points, so that their memory is the sum of averages; the
+ * sum of their final sizes left a sixth of the memory of busy engines unused.
+ */
+const MEAN_OUTPUT_SHARE = 0.5;
+
+/** Returns the memory that a run holds on average, in tokens. */
+export function computeMeanMemory({
+  promptTokens,
+  outputTokens,
+}: Pick<AdmissionRequest, 'promptTokens' | 'outputTokens'>): number {
+  return promptTokens + outputTokens * MEAN_OUTPUT_SHARE;
+}
+
 /** Returns the class in whose order a request of a priority starts. */
 export function toRequestClass(priority: number): RequestClassName {
   const index = Math.min(Math.max(0, priority), REQUEST_CLASSES.length - 1);
--- a/packages/scheduling/src/place_requests/place_requests.ts
+++ b/packages/scheduling/src/place_requests/place_requests.ts
@@ -2,7 +2,7 @@
  * Decides which waiting requests start now, and at which engines.
  */
 import {
-  computeCost,
+  computeMeanMemory,
   type AdmissionLane,
   type AdmissionRequest,
   type LaneHead,
@@ -92,7 +92,7 @@
   engines: readonly T[],
   {random, findRoom, shortestTargetMilliseconds}: PlaceRequestsOptions,
 ): AdmissionPlacement<T> | undefined {
-  const tokens = computeCost(request);
+  const tokens = computeMeanMemory(request);
   const {prefillMilliseconds} = request;
   const room = findRoom(engines, {
     tokens,
@@ -139,7 +139,7 @@
       ? {
           ...engine,
           openRequests: engine.openRequests + 1,
-          usedTokens: engine.usedTokens + computeCost(request),
+          usedTokens: engine.usedTokens + computeMeanMemory(request),
           waitMilliseconds:
             engine.waitMilliseconds + request.prefillMilliseconds,
         }
