Take a response that can have no body as complete at its head

Cause: trackResponseEnd derived the framing from the headers alone, so that a 204, a 304 and a response to HEAD without a length counted as one that ends with its connection. A sound one was reported as broken off and became 502. The gateway also stated a length of 0 for it.

Change: canHaveBody tells from method and status whether a response can have a body; one that cannot has the framing 'none', is complete at its head, and is forwarded without a length.

--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -13,6 +13,7 @@
   RoutedService,
   StreamOrigin,
 } from '@briarpin/coordination';
+import {canHaveBody} from '@briarpin/platform';
 import type {
   EventLogger,
   GatewayMetrics,
@@ -245,7 +246,9 @@
   const {response, arrivedAt} = exchange;
   const {dialect, clock} = context;
   const headers = dialect.buildResponseHeaders(rawHeaders);
-  headers.push('Content-Length', String(body.length));
+  if (canHaveBody(exchange.request.method, status)) {
+    headers.push('Content-Length', String(body.length));
+  }
   if (closesConnection(exchange, context)) {
     headers.push('Connection', 'close');
   }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -2,6 +2,7 @@
  * HTTP clients for the log and the membership list of the platform, and what
  * HTTP clients share.
  */
+export * from './can_have_body/can_have_body.js';
 export * from './confirm_response_end/confirm_response_end.js';
 export * from './growing_buffer/growing_buffer.js';
 export * from './guarded_agent/guarded_agent.js';
--- a/packages/platform/src/track_response_end/track_response_end.ts
+++ b/packages/platform/src/track_response_end/track_response_end.ts
@@ -1,10 +1,14 @@
 /**
  * Tracks how the body of an HTTP response ends.
  */
-import type {IncomingMessage} from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
+
+import {canHaveBody} from '../can_have_body/can_have_body.js';
 
 /** What delimits the body of a response. */
 export type BodyFraming =
+  /** The response can have no body and is complete at its head. */
+  | 'none'
   | 'length'
   | 'chunks'
   /** Nothing but the end of the connection. */
@@ -34,6 +38,9 @@
 export function trackResponseEnd(response: IncomingMessage): ResponseEnd {
   const {socket} = response;
   const framing = getBodyFraming(response);
+  if (framing === 'none') {
+    return {framing, isWhole: () => true};
+  }
   if (framing !== 'connection') {
     return {framing, isWhole: () => response.complete};
   }
@@ -46,7 +53,13 @@
   return {framing, isWhole: () => response.complete && closedInOrder};
 }
 
-function getBodyFraming({headers}: IncomingMessage): BodyFraming {
+function getBodyFraming(
+  response: IncomingMessage & {readonly req?: ClientRequest},
+): BodyFraming {
+  const {headers, statusCode, req: request} = response;
+  if (!canHaveBody(request?.method, statusCode)) {
+    return 'none';
+  }
   if (headers['transfer-encoding'] !== undefined) {
     return 'chunks';
   }
