Bound the memory of bodies, responses and unsent bytes of a gateway

Cause: each body, buffered response and event had a limit, and all together had none. 20 callers that upload 4 MB each exceed the memory of a gateway of 178 MB.

Change: MemoryBudget accounts for all of them, with a limit derived from Limits.MemoryMb; without the setting there is no limit. A body without room is rejected as not run, with 503 and Retry-After: before it is read if it states its length, else as soon as it exceeds the budget. Large responses and events wait for room while their endpoint is paused, and an endpoint that cuts such a call off is not recorded as failed. A 503 to a caller that still sends ends after the request, since a reset discarded it otherwise. GrowingBuffer takes an expected size. Metric briarpin_held_bytes, log line rejected_for_memory.

The test of the metrics gained the new gauge.

--- a/packages/daemon/src/machine/create_forwarding_context.ts
+++ b/packages/daemon/src/machine/create_forwarding_context.ts
@@ -17,6 +17,8 @@
   RequestDurations,
   RetryBudgets,
   Shutdown,
+  MemoryBudget,
+  computeMemoryLimit,
   StreamOrigins,
   type ForwardingContext,
   type OriginTransport,
@@ -123,6 +125,7 @@
     metrics,
     onWorkStarted,
     shutdown: new Shutdown(clock),
+    memory: new MemoryBudget(computeMemoryLimit(settings.memoryMegabytes)),
     durations: new RequestDurations(),
     gatewayReturns: new GatewayReturns({clock, reachableGateways}),
   };
--- a/packages/forwarding/src/buffer_body/buffer_body.ts
+++ b/packages/forwarding/src/buffer_body/buffer_body.ts
@@ -4,6 +4,7 @@
 import {GrowingBuffer} from '@briarpin/platform';
 
 import type {AttemptResult} from '../endpoint_client/endpoint_client.js';
+import type {MemoryAccount} from '../memory_budget/memory_budget.js';
 
 /** Largest response body that is buffered before it is forwarded. */
 export const MAXIMUM_BUFFERED_BYTES = 4_194_304;
@@ -11,22 +12,51 @@
 /** A complete body, or the reason why it is incomplete. */
 export type BufferedBody =
   | {readonly kind: 'whole'; readonly body: Buffer}
-  | {readonly kind: 'broken'; readonly reason: string};
+  | {
+      readonly kind: 'broken';
+      readonly reason: string;
+      /** True if the gateway paused the response for lack of memory. */
+      readonly wasPaused: boolean;
+    };
 
 /**
- * Reads the body of a response to its end.
+ * Reads the body of a response to its end. Pauses while there is no memory for
+ * it.
  *
  * @param result - Response whose head has been read
+ * @param memory - Account of the request, which holds the memory of a whole body
  * @returns The body; `broken` if it is incomplete or too large
  */
-export function bufferBody({
-  response,
-  confirmEnd,
-}: AttemptResult & {kind: 'answered'}): Promise<BufferedBody> {
+export function bufferBody(
+  {response, framing, confirmEnd}: AttemptResult & {kind: 'answered'},
+  memory: Pick<
+    MemoryAccount,
+    'holdResponse' | 'setResponseBytes' | 'releaseResponse'
+  >,
+): Promise<BufferedBody> {
   return new Promise(resolve => {
-    const body = new GrowingBuffer();
+    const statedBytes =
+      framing === 'length'
+        ? Math.min(
+            Number(response.headers['content-length']),
+            MAXIMUM_BUFFERED_BYTES,
+          )
+        : undefined;
+    const body = new GrowingBuffer(statedBytes);
     let hasEnded = false;
-    const fail = (reason: string) => resolve({kind: 'broken', reason});
+    let wasPaused = false;
+    const fail = (reason: string) => {
+      memory.releaseResponse();
+      resolve({kind: 'broken', reason, wasPaused});
+    };
+    const hold = (bytes: number, maximumBytes: number) => {
+      const granted = memory.holdResponse(bytes, maximumBytes);
+      if (granted !== undefined) {
+        wasPaused = true;
+        response.pause();
+        void granted.then(() => response.resume());
+      }
+    };
     response.on('data', (chunk: Buffer) => {
       if (body.length + chunk.length > MAXIMUM_BUFFERED_BYTES) {
         fail('the answer is too large');
@@ -34,14 +64,20 @@
         return;
       }
       body.append(chunk);
+      if (statedBytes === undefined) {
+        hold(body.length, MAXIMUM_BUFFERED_BYTES);
+      }
     });
     response.on('end', () => {
       hasEnded = true;
-      void confirmEnd().then(isComplete =>
-        isComplete
-          ? resolve({kind: 'whole', body: body.take()})
-          : fail('the answer broke off'),
-      );
+      void confirmEnd().then(isComplete => {
+        if (!isComplete) {
+          fail('the answer broke off');
+          return;
+        }
+        memory.setResponseBytes(body.length);
+        resolve({kind: 'whole', body: body.take()});
+      });
     });
     response.on('error', error => fail(error.message));
     response.on('close', () => {
@@ -49,5 +85,8 @@
         fail('the connection closed');
       }
     });
+    if (statedBytes !== undefined) {
+      hold(statedBytes, statedBytes);
+    }
   });
 }
--- a/packages/forwarding/src/create_exchange/create_exchange.ts
+++ b/packages/forwarding/src/create_exchange/create_exchange.ts
@@ -14,6 +14,7 @@
   | 'response'
   | 'metadata'
   | 'body'
+  | 'memory'
   | 'arrivedAt'
   | 'origin'
   | 'connectionPosition'
--- a/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
+++ b/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
@@ -11,6 +11,7 @@
   EventSplitter,
   type RawEvent,
 } from '../event_splitter/event_splitter.js';
+import type {MemoryAccount} from '../memory_budget/memory_budget.js';
 import {isEventStream} from '../open_result/open_result.js';
 
 /** Longest event that is collected before it is forwarded. */
@@ -38,6 +39,11 @@
   readonly checkpointHolder?: EndpointEntry;
   /** Removes this run from the load counted for the endpoint. */
   readonly releaseLoad: () => void;
+  /** Account of the request, which holds the memory of unfinished events. */
+  readonly memory: Pick<
+    MemoryAccount,
+    'holdResponse' | 'setResponseBytes' | 'releaseResponse'
+  >;
   /** Longest pause between chunks; without it there is no limit. */
   readonly idleTimeoutMilliseconds?: number;
   /**
@@ -58,6 +64,9 @@
   private isStopped = false;
   private hasEnded = false;
   private eventCount = 0;
+  /** Number of promises that reading waits for. */
+  private openPauses = 0;
+  private hasPaused = false;
 
   /**
    * @param options - Source of the stream and handlers of its events
@@ -79,6 +88,11 @@
         this.resolveEnd = undefined;
         clearTimeout(this.idleTimer);
         this.options.releaseLoad();
+        if (end.kind === 'complete') {
+          this.options.memory.setResponseBytes(this.unfinishedBytes);
+        } else {
+          this.options.memory.releaseResponse();
+        }
         resolve(end);
       };
       response.on('data', (chunk: Buffer) => this.handleChunk(chunk));
@@ -102,6 +116,11 @@
     return this.options.framing;
   }
 
+  /** True if reading paused for the caller or for lack of memory. */
+  get wasPaused(): boolean {
+    return this.hasPaused;
+  }
+
   /** Number of complete events received. */
   get receivedEvents(): number {
     return this.eventCount;
@@ -154,16 +173,33 @@
         return;
       }
       this.eventCount += 1;
-      const drained = this.options.onEvent(event);
-      if (drained !== undefined) {
-        const {response} = this.options;
-        response.pause();
-        void drained.then(() => response.resume());
-      }
+      this.pauseUntil(this.options.onEvent(event));
     }
-    if (this.unfinishedBytes > this.maximumUnfinishedBytes) {
+    const {unfinishedBytes, maximumUnfinishedBytes} = this;
+    if (unfinishedBytes > maximumUnfinishedBytes) {
       this.stop('an event is too large');
+      return;
+    }
+    this.pauseUntil(
+      this.options.memory.holdResponse(unfinishedBytes, maximumUnfinishedBytes),
+    );
+  }
+
+  /** Pauses reading until all promises given so far have resolved. */
+  private pauseUntil(ready: Promise<void> | undefined): void {
+    if (ready === undefined) {
+      return;
     }
+    const {response} = this.options;
+    this.hasPaused = true;
+    this.openPauses += 1;
+    response.pause();
+    void ready.then(() => {
+      this.openPauses -= 1;
+      if (this.openPauses === 0) {
+        response.resume();
+      }
+    });
   }
 
   private restartIdleTimer(): void {
--- a/packages/forwarding/src/error_response/error_response.ts
+++ b/packages/forwarding/src/error_response/error_response.ts
@@ -4,6 +4,7 @@
 import type {ServerResponse} from 'node:http';
 
 import type {Dialect} from '../dialect/dialect.js';
+import {endAfterRequest} from '../end_after_request/end_after_request.js';
 
 /** Why the gateway responds in place of an endpoint. */
 export type ErrorResponse =
@@ -43,6 +44,8 @@
   readonly dialect: Dialect;
   /** True when the caller must open a new connection for its next request. */
   readonly closeConnection: boolean;
+  /** True to end the response only after the rest of the request. */
+  readonly readsRequestFirst?: boolean;
 }
 
 /**
@@ -77,5 +80,10 @@
     headers.push('Connection', 'close');
   }
   response.writeHead(getHttpStatus(errorResponse), headers);
-  response.end(body);
+  if (options.readsRequestFirst === true && !response.req.complete) {
+    response.write(body);
+    endAfterRequest(response);
+  } else {
+    response.end(body);
+  }
 }
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -27,6 +27,10 @@
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
 import type {GatewayReturns} from '../gateway_returns/gateway_returns.js';
+import type {
+  MemoryAccount,
+  MemoryBudget,
+} from '../memory_budget/memory_budget.js';
 import {listSharedParts} from '../list_shared_parts/list_shared_parts.js';
 import type {RequestDurations} from '../request_durations/request_durations.js';
 import type {RetryBudgets} from '../retry_budgets/retry_budgets.js';
@@ -64,6 +68,8 @@
   /** Called when work starts that other gateways must count for placement. */
   readonly onWorkStarted: () => void;
   readonly shutdown: Shutdown;
+  /** Memory for bodies, buffered responses and unsent bytes. */
+  readonly memory: MemoryBudget;
   /** When the other gateways are expected to return that stop. */
   readonly gatewayReturns: GatewayReturns;
 }
@@ -77,6 +83,8 @@
   readonly service: RoutedService;
   readonly organisation?: RoutedOrganisation;
   readonly body: Buffer;
+  /** Memory that the request holds; released when its response is sent. */
+  readonly memory: MemoryAccount;
   /** Returns the fingerprint, which is the same when the request comes again. */
   readonly fingerprint: () => string;
   /** Place of the request on its caller's connection. */
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -22,7 +22,9 @@
   type BufferedResponse,
 } from '../exchange/exchange.js';
 import {logUnframedEnd} from '../log_attempts/log_attempts.js';
+import type {MemoryAccount} from '../memory_budget/memory_budget.js';
 import {permitRetry} from '../permit_retry/permit_retry.js';
+import {recordCallOutcome} from '../record_call_outcome/record_call_outcome.js';
 
 /**
  * `Retry-After` of a call that no endpoint can accept: a few times the service
@@ -37,7 +39,12 @@
 type CallResult =
   | (BufferedResponse & {readonly kind: 'whole'})
   | {readonly kind: 'not_run'; readonly wasSent: boolean; reason: string}
-  | {readonly kind: 'unknown'; readonly reason: string};
+  | {
+      readonly kind: 'unknown';
+      readonly reason: string;
+      /** True if the gateway had paused the response for lack of memory. */
+      readonly wasPaused?: boolean;
+    };
 
 /**
  * Forwards a call. Retries it at another endpoint where that is allowed.
@@ -147,19 +154,18 @@
     const attempt = await context.client.send(
       createAttempt(exchange, context, entry),
     );
-    const result = await readResult(attempt);
+    const result = await readResult(attempt, exchange.memory);
     if (attempt.kind === 'answered' && attempt.framing === 'connection') {
       logUnframedEnd(exchange, context, entry, {
         end: result.kind === 'whole' ? 'complete' : 'broken',
         reason: result.kind === 'whole' ? undefined : result.reason,
       });
     }
-    const failed = !isSuccess(result);
-    loads.recordOutcome(
-      entry.id,
-      failed,
-      failed ? undefined : clock.now() - sentAt,
-    );
+    recordCallOutcome(loads, entry.id, {
+      failed: !isSuccess(result),
+      wasPaused: result.kind === 'unknown' && result.wasPaused === true,
+      milliseconds: clock.now() - sentAt,
+    });
     return result;
   } finally {
     loads.remove(entry.id, {requests: 1});
@@ -193,7 +199,10 @@
   };
 }
 
-async function readResult(attempt: AttemptResult): Promise<CallResult> {
+async function readResult(
+  attempt: AttemptResult,
+  memory: MemoryAccount,
+): Promise<CallResult> {
   switch (attempt.kind) {
     case 'not_sent':
       return {kind: 'not_run', wasSent: false, reason: attempt.reason};
@@ -208,9 +217,10 @@
     case 'answered': {
       const {response, metadata} = attempt;
       const status = response.statusCode ?? 0;
-      const buffered = await bufferBody(attempt);
+      const buffered = await bufferBody(attempt, memory);
       if (buffered.kind === 'broken') {
-        return {kind: 'unknown', reason: buffered.reason};
+        const {reason, wasPaused} = buffered;
+        return {kind: 'unknown', reason, wasPaused};
       }
       if (!metadata.isSigned) {
         return {kind: 'unknown', reason: 'the answer bears no signature'};
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -14,6 +14,7 @@
 } from '../admit_request/admit_request.js';
 import {CallerServer} from '../caller_server/caller_server.js';
 import {createExchange} from '../create_exchange/create_exchange.js';
+import {createMemoryRejection} from '../create_memory_rejection/create_memory_rejection.js';
 import {describeConnection} from '../describe_connection/describe_connection.js';
 import {Evacuator} from '../evacuator/evacuator.js';
 import type {RequestMetadata} from '../dialect/dialect.js';
@@ -30,10 +31,12 @@
   type ErrorResponse,
 } from '../error_response/error_response.js';
 import {LastRequests} from '../last_requests/last_requests.js';
+import type {MemoryAccount} from '../memory_budget/memory_budget.js';
 import type {OpenRequest} from '../open_request/open_request.js';
 import {readBody} from '../read_body/read_body.js';
 import {recordExchange} from '../record_exchange/record_exchange.js';
 import {resolveStreamOrigin} from '../resolve_stream_origin/resolve_stream_origin.js';
+import {runWithAccount} from '../run_with_account/run_with_account.js';
 import {StreamSession} from '../stream_session/stream_session.js';
 
 /** Limit of a request body until a configuration sets one. */
@@ -71,7 +74,10 @@
       hasStreams: () => this.sessions.size > 0,
     });
     this.server = new CallerServer(context, {
-      serve: open => this.serve(open),
+      serve: open =>
+        runWithAccount(context.memory, open.response, memory =>
+          this.serve(open, memory),
+        ),
       retryAfterMilliseconds: () =>
         this.lastRequests.createResponse().retryAfterMilliseconds,
     });
@@ -136,7 +142,7 @@
     this.context.client.close();
   }
 
-  private async serve(open: OpenRequest): Promise<void> {
+  private async serve(open: OpenRequest, memory: MemoryAccount): Promise<void> {
     const {context} = this;
     const {request, response, metadata, controller} = open;
     const admission = this.admit(request, metadata);
@@ -146,8 +152,13 @@
     }
     const read = await readBody(request, {
       maximumBytes: this.maximumBodyBytes,
+      memory,
       signal: controller.signal,
     });
+    if (read.kind === 'no_memory') {
+      this.rejectRequest(open, createMemoryRejection(open, context), true);
+      return;
+    }
     if (read.kind === 'too_large') {
       const reason = 'the body is larger than operators allow';
       this.rejectRequest(open, {kind: 'rejected', status: 413, reason});
@@ -187,6 +198,7 @@
         arrivedAt,
         controller,
         body: read.body,
+        memory,
         origin,
       },
       {...admission, service},
@@ -251,6 +263,7 @@
   private rejectRequest(
     {request, response, metadata, connectionPosition}: OpenRequest,
     errorResponse: ErrorResponse,
+    readsRequestFirst = false,
   ): void {
     const {context} = this;
     context.metrics.countRequest(
@@ -266,6 +279,7 @@
     });
     sendErrorResponse(response, errorResponse, {
       dialect: context.dialect,
+      readsRequestFirst,
       // A body that still arrives would meet a reset, which discards the response.
       closeConnection:
         request.complete &&
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from './admit_request/admit_request.js';
 export * from './choose_placement/choose_placement.js';
+export * from './compute_memory_limit/compute_memory_limit.js';
 export * from './crash_quarantine/crash_quarantine.js';
 export * from './dialect/dialect.js';
 export * from './endpoint_client/endpoint_client.js';
@@ -17,6 +18,7 @@
 export * from './gateway_mesh/gateway_mesh.js';
 export * from './gateway_returns/gateway_returns.js';
 export * from './list_shared_parts/list_shared_parts.js';
+export * from './memory_budget/memory_budget.js';
 export * from './preconnecting_agent/preconnecting_agent.js';
 export * from './request_durations/request_durations.js';
 export * from './retry_budgets/retry_budgets.js';
--- a/packages/forwarding/src/open_result/open_result.ts
+++ b/packages/forwarding/src/open_result/open_result.ts
@@ -6,6 +6,7 @@
 import {bufferBody} from '../buffer_body/buffer_body.js';
 import {type AttemptResult} from '../endpoint_client/endpoint_client.js';
 import type {BufferedResponse} from '../exchange/exchange.js';
+import type {MemoryAccount} from '../memory_budget/memory_budget.js';
 
 /** Range of the statuses that a stream response may have. */
 const FIRST_SUCCESS_STATUS = 200;
@@ -59,9 +60,13 @@
  * response to its end.
  *
  * @param result - Outcome of the attempt
+ * @param memory - Account of the request
  * @returns The engine's error response, or why there is no usable response
  */
-export async function readFailure(result: AttemptResult): Promise<OpenFailure> {
+export async function readFailure(
+  result: AttemptResult,
+  memory: MemoryAccount,
+): Promise<OpenFailure> {
   switch (result.kind) {
     case 'not_sent':
     case 'unknown':
@@ -77,7 +82,7 @@
     case 'answered': {
       const {response, metadata} = result;
       const status = response.statusCode ?? 0;
-      const buffered = await bufferBody(result);
+      const buffered = await bufferBody(result, memory);
       if (buffered.kind === 'broken' || !metadata.isSigned) {
         const reason = `a broken answer with status ${status}`;
         return {kind: 'failed', reason, mayHaveRun: true, wasSent: true};
--- /dev/null
+++ b/packages/forwarding/src/record_call_outcome/record_call_outcome.test.ts
@@ -0,0 +1,33 @@
+/**
+ * Tests what a call records about its endpoint.
+ *
+ * Guards against an endpoint that receives less work because it gave up on a
+ * response that this gateway had paused.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+
+import {recordCallOutcome, type CallOutcome} from './record_call_outcome.js';
+
+function record(outcome: Omit<CallOutcome, 'milliseconds'>): unknown[] {
+  const recorded: unknown[] = [];
+  const recordOutcome = (...values: unknown[]) => void recorded.push(...values);
+  recordCallOutcome({recordOutcome}, 'desk-0', {...outcome, milliseconds: 20});
+  return recorded;
+}
+
+describe('recordCallOutcome', () => {
+  it('records a success with its time', () => {
+    const expected = ['desk-0', false, 20];
+    assert.deepEqual(record({failed: false, wasPaused: false}), expected);
+  });
+
+  it('records a failure without a time', () => {
+    const expected = ['desk-0', true, undefined];
+    assert.deepEqual(record({failed: true, wasPaused: false}), expected);
+  });
+
+  it('does not record a failure after a pause', () => {
+    assert.deepEqual(record({failed: true, wasPaused: true}), []);
+  });
+});
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -268,6 +268,7 @@
       reason,
       events: this.writer.sentEvents,
       checkpoint: stream.checkpointHolder?.id,
+      paused: stream.wasPaused,
     });
     const checkpoint =
       this.writer.sentEvents > 0 ? this.findCheckpoint(stream) : undefined;
@@ -389,7 +390,7 @@
     if (!isStreamResponse(result)) {
       countedWork.release();
       context.loads.recordOutcome(endpoint.id, true);
-      const failure = await readFailure(result);
+      const failure = await readFailure(result, exchange.memory);
       this.mayHaveRun ||= failure.kind !== 'failed' || failure.mayHaveRun;
       const reason =
         failure.kind === 'failed' ? failure.reason : 'the engine failed';
@@ -417,6 +418,7 @@
       abort: () => controller.abort(),
       checkpointHolder: holder,
       releaseLoad: countedWork.release,
+      memory: exchange.memory,
       onEvent: event => {
         countedWork.recordEvent();
         if (
--- a/packages/forwarding/src/stream_writer/stream_writer.ts
+++ b/packages/forwarding/src/stream_writer/stream_writer.ts
@@ -67,12 +67,18 @@
     this.writeHead();
     this.eventCount += 1;
     this.newestEventId = event.id ?? this.newestEventId;
-    if (response.write(event.bytes)) {
+    const isDrained = response.write(event.bytes);
+    this.countUnsentBytes();
+    if (isDrained) {
       return undefined;
     }
     return new Promise(resolve => {
-      response.once('drain', resolve);
-      response.once('close', resolve);
+      const resume = () => {
+        this.countUnsentBytes();
+        resolve();
+      };
+      response.once('drain', resume);
+      response.once('close', resume);
     });
   }
 
@@ -93,6 +99,11 @@
     };
   }
 
+  private countUnsentBytes(): void {
+    const {response, memory} = this.exchange;
+    memory.setUnsentBytes(response.writableLength);
+  }
+
   private writeHead(): void {
     const {response, arrivedAt} = this.exchange;
     const {headResponse, context} = this;
--- a/packages/platform/src/growing_buffer/growing_buffer.test.ts
+++ b/packages/platform/src/growing_buffer/growing_buffer.test.ts
@@ -32,6 +32,14 @@
     assert.equal(buffer.bytes.toString(), 'abcdefghijkl');
   });
 
+  it('does not grow beyond the expected size', () => {
+    const buffer = new GrowingBuffer(10);
+    ['abc', 'defg', 'hij'].forEach(text => buffer.append(Buffer.from(text)));
+    const taken = buffer.take();
+    assert.equal(taken.toString(), 'abcdefghij');
+    assert.equal(taken.buffer.byteLength, 10);
+  });
+
   it('begins anew after its bytes were taken, and leaves them unchanged', () => {
     const buffer = new GrowingBuffer();
     buffer.append(Buffer.from('first'));
--- a/packages/platform/src/growing_buffer/growing_buffer.ts
+++ b/packages/platform/src/growing_buffer/growing_buffer.ts
@@ -24,6 +24,12 @@
   private storage: Buffer = EMPTY;
   private size = 0;
 
+  /**
+   * @param expectedBytes - Size of the whole message if it is known; the memory
+   *   then need not grow
+   */
+  constructor(private readonly expectedBytes = 0) {}
+
   /** Number of bytes collected. */
   get length(): number {
     return this.size;
@@ -43,7 +49,11 @@
     const needed = this.size + chunk.length;
     if (needed > this.storage.length) {
       const grown = Buffer.allocUnsafeSlow(
-        Math.max(needed, this.storage.length * GROWTH_FACTOR),
+        Math.max(
+          needed,
+          this.expectedBytes,
+          this.storage.length * GROWTH_FACTOR,
+        ),
       );
       this.bytes.copy(grown);
       this.storage = grown;
--- a/packages/telemetry/src/gateway_metrics/gateway_metrics.test.ts
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.test.ts
@@ -15,6 +15,7 @@
       configurationVersion: () => 7,
       storeAgeMilliseconds: () => 120,
       readyEndpoints: () => 11,
+      heldBytes: () => 13,
     });
     metrics.countRequest('done', 200);
     metrics.countRequest('done', 200);
@@ -28,6 +29,7 @@
     );
     assert.match(text, /briarpin_events_total\{event="endpoint_leaving"\} 1/);
     assert.match(text, /briarpin_open_requests 3/);
+    assert.match(text, /briarpin_held_bytes 13/);
     assert.match(
       text,
       /briarpin_store_calls_total\{topic="keyed.op",call="read_from"\} 1/,
--- a/packages/telemetry/src/gateway_metrics/gateway_metrics.ts
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.ts
@@ -24,6 +24,8 @@
   readonly configurationVersion: () => number;
   readonly storeAgeMilliseconds: () => number;
   readonly readyEndpoints: () => number;
+  /** Bytes of bodies, buffered responses and unsent bytes. */
+  readonly heldBytes: () => number;
 }
 
 /**
@@ -76,6 +78,14 @@
     registers,
     read: gauges.readyEndpoints,
   });
+  addGauge(
+    'briarpin_held_bytes',
+    'Bytes of bodies, responses and unsent bytes.',
+    {
+      registers,
+      read: gauges.heldBytes,
+    },
+  );
   addLatencies(histograms, registers);
   return {
     countRequest: (outcome, status) =>
