Check a routing configuration before it is written

Cause: a mistake that the schema accepts, such as a route that never matches or regions that exclude each other, first showed when callers were rejected.

--- a/packages/messages/src/index.ts
+++ b/packages/messages/src/index.ts
@@ -36,4 +36,7 @@
 } from './generated/stream_origins.js';
 export * from './generated/suspicion_record.js';
 export type {SchemaValidator, SchemaViolation} from './schema_validator.js';
-export {describeViolations} from './describe_violations/describe_violations.js';
+export {
+  describeViolations,
+  type ViolationDescription,
+} from './describe_violations/describe_violations.js';
--- a/packages/operator/src/briarpin.ts
+++ b/packages/operator/src/briarpin.ts
@@ -5,12 +5,13 @@
 import {parseArgs} from 'node:util';
 
 import {runCheck} from './run_check/run_check.js';
+import {runCheckConfiguration} from './run_check_configuration/run_check_configuration.js';
 import {EXIT_USAGE_ERROR, type CommandContext} from './command.js';
 import {connect} from './connect/connect.js';
 import {runEntries} from './run_entries/run_entries.js';
 import {runDrain, runHistograms, runStatus} from './run_inspect/run_inspect.js';
 import {runExplain} from './run_explain/run_explain.js';
-import {USAGE, COMMAND_USAGE, EXPLAIN_USAGE} from './usage.js';
+import {CHECK_USAGE, USAGE, COMMAND_USAGE, EXPLAIN_USAGE} from './usage.js';
 
 process.exitCode = await main(process.argv.slice(2));
 
@@ -24,6 +25,8 @@
         settings: {type: 'string'},
         reason: {type: 'string'},
         base: {type: 'string'},
+        configuration: {type: 'string'},
+        against: {type: 'string'},
         json: {type: 'boolean'},
         help: {type: 'boolean'},
       },
@@ -34,14 +37,14 @@
   const {values, positionals} = parsed;
   const [command = '', ...operands] = positionals;
   if (values.help) {
-    const usage = command === 'explain' ? EXPLAIN_USAGE : undefined;
-    process.stdout.write(usage ?? COMMAND_USAGE[command] ?? USAGE);
+    process.stdout.write(findUsage(command));
     return 0;
   }
   if (command === 'check') {
-    return operands.length === 1
-      ? runCheck(operands[0] ?? '')
-      : reportUsageError(USAGE);
+    return check(operands, values);
+  }
+  if (values.configuration !== undefined || values.against !== undefined) {
+    return reportUsageError(findUsage(command));
   }
   if (command === 'explain') {
     const [requestId, file, ...excess] = operands;
@@ -63,6 +66,39 @@
     : status;
 }
 
+function findUsage(command: string): string {
+  const usages: Readonly<Record<string, string>> = {
+    ...COMMAND_USAGE,
+    check: CHECK_USAGE,
+    explain: EXPLAIN_USAGE,
+  };
+  return usages[command] ?? USAGE;
+}
+
+/** Options of `check`. */
+interface CheckOptions {
+  readonly configuration?: string;
+  readonly against?: string;
+  readonly json?: boolean;
+}
+
+function check(
+  operands: readonly string[],
+  {configuration, against, json = false}: CheckOptions,
+): number {
+  const [file, ...excess] = operands;
+  if (configuration !== undefined && file === undefined) {
+    const {env: environment} = process;
+    return runCheckConfiguration(configuration, {against, json, environment});
+  }
+  return file === undefined ||
+    excess.length > 0 ||
+    configuration !== undefined ||
+    against !== undefined
+    ? reportUsageError(CHECK_USAGE)
+    : runCheck(file);
+}
+
 function runCommand(
   command: string,
   operands: readonly string[],
--- a/packages/operator/src/usage.ts
+++ b/packages/operator/src/usage.ts
@@ -6,6 +6,9 @@
 export const USAGE = `Usage: briarpin COMMAND [--settings FILE] [--json]
 
   check FILE                       check a settings file of any role
+  check --configuration FILE [--against FILE]
+                                   check a routing configuration, and compare
+                                   it with the version in force
   defaults show                    show the fleet-wide default
   defaults set KEY VALUE           change it; VALUE is JSON or plain text
   exceptions list                  show the exceptions with their reasons
@@ -45,6 +48,11 @@
   drain: 'Usage: briarpin drain INSTANCE\n',
 };
 
+/** Usage of `check`, which reads files and needs no platform. */
+export const CHECK_USAGE =
+  'Usage: briarpin check FILE\n' +
+  '       briarpin check --configuration FILE [--against FILE] [--json]\n';
+
 /** Usage of `explain`, which reads logs and needs no platform. */
 export const EXPLAIN_USAGE =
   'Usage: briarpin explain REQUEST_ID [FILE] [--json]\n';
