--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -161,7 +161,7 @@
     }
     if (read.kind === 'too_large') {
       const reason = 'the body is larger than operators allow';
-      this.rejectRequest(open, {kind: 'rejected', status: 413, reason});
+      this.rejectRequest(open, {kind: 'rejected', status: 413, reason}, true);
       return;
     }
     if (read.kind === 'broken') {
