--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -163,6 +163,7 @@
             mesh.reachableGateways.length === 0,
         }
       : undefined,
+    heldBytes: () => components.memory.heldBytes,
   });
   const {logger} = telemetry;
   const components = createForwardingContext(settings, telemetry, state, {
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -12,6 +12,7 @@
   RoutedService,
   StreamOrigin,
 } from '@briarpin/coordination';
+import {canHaveBody} from '@briarpin/platform';
 import type {
   EventLogger,
   GatewayMetrics,
@@ -31,6 +32,10 @@
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
 import type {EngineQueue} from '../engine_queue/engine_queue.js';
 import type {GatewayReturns} from '../gateway_returns/gateway_returns.js';
+import type {
+  MemoryAccount,
+  MemoryBudget,
+} from '../memory_budget/memory_budget.js';
 import {listSharedParts} from '../list_shared_parts/list_shared_parts.js';
 import type {OrganisationWorkCounts} from '../organisation_work/organisation_work.js';
 import type {RequestDurations} from '../request_durations/request_durations.js';
@@ -76,6 +81,8 @@
   /** Called when work starts that other gateways must count for placement. */
   readonly onWorkStarted: () => void;
   readonly shutdown: Shutdown;
+  /** Memory for bodies, buffered responses and unsent bytes. */
+  readonly memory: MemoryBudget;
   /** When the other gateways are expected to return that stop. */
   readonly gatewayReturns: GatewayReturns;
   /** True if requests wait at the gateway while no engine has room. */
@@ -95,6 +102,8 @@
   readonly service: RoutedService;
   readonly organisation?: RoutedOrganisation;
   readonly body: Buffer;
+  /** Memory that the request holds; released when its response is sent. */
+  readonly memory: MemoryAccount;
   /** Returns the fingerprint, which is the same when the request comes again. */
   readonly fingerprint: () => string;
   /** Place of the request on its caller's connection. */
@@ -231,7 +240,9 @@
   const {response, arrivedAt} = exchange;
   const {dialect, clock} = context;
   const headers = dialect.buildResponseHeaders(rawHeaders);
-  headers.push('Content-Length', String(body.length));
+  if (canHaveBody(exchange.request.method, status)) {
+    headers.push('Content-Length', String(body.length));
+  }
   if (closesConnection(exchange, context)) {
     headers.push('Connection', 'close');
   }
--- a/packages/telemetry/src/gateway_metrics/gateway_metrics.test.ts
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.test.ts
@@ -15,6 +15,7 @@
       configurationVersion: () => 7,
       storeAgeMilliseconds: () => 120,
       readyEndpoints: () => 11,
+      heldBytes: () => 13,
     });
     metrics.countRequest('done', 200);
     metrics.countRequest('done', 200);
@@ -30,6 +31,7 @@
     );
     assert.match(text, /briarpin_events_total\{event="endpoint_leaving"\} 1/);
     assert.match(text, /briarpin_open_requests 3/);
+    assert.match(text, /briarpin_held_bytes 13/);
     assert.match(
       text,
       /briarpin_requests_without_allowed_endpoint_total\{organisation="quilters"\} 1/,
@@ -52,6 +54,7 @@
       configurationVersion: () => 0,
       storeAgeMilliseconds: () => 0,
       readyEndpoints: () => 0,
+      heldBytes: () => 0,
       queue: {
         readOrganisations: () => [
           {
--- a/packages/telemetry/src/gateway_metrics/gateway_metrics.ts
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.ts
@@ -38,6 +38,8 @@
   readonly readyEndpoints: () => number;
   /** Absent where no request waits for an engine. */
   readonly queue?: QueueGauges;
+  /** Bytes of bodies, buffered responses and unsent bytes. */
+  readonly heldBytes: () => number;
 }
 
 /**
@@ -101,6 +103,14 @@
     registers,
     read: gauges.readyEndpoints,
   });
+  addGauge(
+    'briarpin_held_bytes',
+    'Bytes of bodies, responses and unsent bytes.',
+    {
+      registers,
+      read: gauges.heldBytes,
+    },
+  );
   addLatencies(histograms, registers);
   return {
     ...createQueueMetrics(registry, gauges.queue),
