Estimate the pace of endpoints, and choose engines by it

Cause: engines that need 0.7 and 1.7 times the usual time were chosen alike, so that long outputs ran for 12 s on slow engines and were interrupted more often.

Change: where responses state a fourth load figure, each gateway estimates the time between two events (or of a call) of every endpoint from its own samples as a median of averages over 100 ms, which short slow phases do not move; exchanges it in reports; and adds two terms to the cost of an engine: expected decode time, and the risk of late events in a slow phase. Estimates of endpoints without own work come last in a report, 12 at most. The waits of plain endpoints use the estimate as well. With three figures, nothing changes. A figure scales samples for 100 ms relative to the median of the endpoint's figures once five are known: a figure stated all the time is the pace itself. endpoint_loads.ts is split into averages, open work and paces.

--- a/packages/forwarding/src/choose_placement/choose_placement.test.ts
+++ b/packages/forwarding/src/choose_placement/choose_placement.test.ts
@@ -27,6 +27,7 @@
 
 const EXCHANGE = {
   metadata: {promptTokens: 10, maximumOutputTokens: 10, promptParts: []},
+  route: {targetGapMilliseconds: 180},
   service: {name: 'text'},
 } as unknown as Exchange;
 
--- a/packages/forwarding/src/choose_placement/choose_placement.ts
+++ b/packages/forwarding/src/choose_placement/choose_placement.ts
@@ -3,7 +3,11 @@
  * checkpoint.
  */
 import type {EndpointEntry, EngineProfile} from '@briarpin/coordination';
-import {selectEndpoint, type EndpointState} from '@briarpin/scheduling';
+import {
+  selectEndpoint,
+  type EndpointState,
+  type ExpectedOutput,
+} from '@briarpin/scheduling';
 
 import type {EndpointCandidate} from '../endpoint_loads/endpoint_loads.js';
 import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
@@ -53,6 +57,12 @@
   );
 }
 
+/** Estimates the output of a generation, for the choice of its engine. */
+function estimateOutput(exchange: Exchange): ExpectedOutput {
+  const {targetGapMilliseconds} = exchange.route;
+  return {tokens: estimateOutputTokens(exchange), targetGapMilliseconds};
+}
+
 /**
  * Computes the share of an engine's memory in use once it also runs this
  * generation; above 1 when the generation does not fit.
@@ -83,6 +93,7 @@
     {
       random: context.random,
       neededTokens: estimateMemoryTokens(exchange),
+      output: estimateOutput(exchange),
     },
   );
 }
@@ -168,5 +179,7 @@
     options.allowsOtherRegions ? states.filter(hasCapacity) : [],
   ];
   const group = groups.find(members => members.length > 0) ?? [];
-  return selectEndpoint(group, {random: context.random, neededTokens})?.entry;
+  const {random} = context;
+  const output = estimateOutput(exchange);
+  return selectEndpoint(group, {random, neededTokens, output})?.entry;
 }
--- a/packages/forwarding/src/count_engine_work/count_engine_work.ts
+++ b/packages/forwarding/src/count_engine_work/count_engine_work.ts
@@ -10,6 +10,11 @@
 export interface CountedWork {
   /** Called for each event; the first event marks the end of the prefill. */
   readonly recordEvent: () => void;
+  /**
+   * Called when reading pauses: the time to the next event then shows nothing of
+   * the engine's pace.
+   */
+  readonly recordPause: () => void;
   readonly release: () => void;
 }
 
@@ -48,6 +53,7 @@
   }
   context.onWorkStarted();
   let isPrefilled = false;
+  let eventAt: number | undefined;
   const completePrefill = () => {
     if (!isPrefilled) {
       isPrefilled = true;
@@ -64,6 +70,14 @@
         );
       }
       completePrefill();
+      const now = clock.now();
+      if (eventAt !== undefined) {
+        loads.recordEvent(endpoint.id, now - eventAt);
+      }
+      eventAt = now;
+    },
+    recordPause: () => {
+      eventAt = undefined;
     },
     release: () => {
       completePrefill();
--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
@@ -6,52 +6,23 @@
   EngineProfile,
   RoutedService,
 } from '@briarpin/coordination';
-import type {EndpointState} from '@briarpin/scheduling';
+import {computeBatchSlowdown, type EndpointState} from '@briarpin/scheduling';
 
 import {computeEvacuationShare} from '../compute_evacuation_share/compute_evacuation_share.js';
 import {computeCopyMilliseconds} from '../compute_copy_milliseconds/compute_copy_milliseconds.js';
+import type {ReportedLoad} from '../dialect/dialect.js';
+import {EndpointAverages} from '../endpoint_averages/endpoint_averages.js';
+import {
+  EndpointPaces,
+  type ReportedPace,
+} from '../endpoint_paces/endpoint_paces.js';
+import {
+  OpenWorkTable,
+  type OpenWork,
+} from '../open_work_table/open_work_table.js';
 
-/**
- * Smoothing factor of the exponential moving averages: weight of the newest
- * sample, 0 to 1.
- */
-const AVERAGE_WEIGHT = 0.15;
-
-/**
- * Half-life of an average: without new samples it decays to its neutral value.
- */
-const AVERAGE_HALF_LIFE_MILLISECONDS = 3_000;
-
-/**
- * Initial estimate of the prefill time per prompt token, in milliseconds, used
- * until first events have been observed. Assumes a chunked prefill that shares
- * its steps with running generations.
- */
-const INITIAL_MILLISECONDS_PER_PROMPT_TOKEN = 0.15;
-
-/** Bounds of an engine's prefill time relative to all engines. */
-const MINIMUM_SLOWDOWN = 0.5;
-const MAXIMUM_SLOWDOWN = 10;
-
-/** Unfinished work at one endpoint. */
-export interface OpenWork {
-  readonly requests: number;
-  /** Estimated memory demand, in tokens. */
-  readonly tokens: number;
-  /** Prompts that have not produced a first event, in tokens. */
-  readonly promptTokens: number;
-}
-
-const NO_WORK: OpenWork = {requests: 0, tokens: 0, promptTokens: 0};
-
-/** Exponential moving averages of an endpoint's outcomes. */
-interface Averages {
-  failureShare: number;
-  latencyMilliseconds: number;
-  /** Prefill time per token relative to all engines; 1 is the average. */
-  slowdown: number;
-  updatedAt: number;
-}
+/** Unfinished work and estimated pace that a gateway reports. */
+export interface ReportedWork extends OpenWork, ReportedPace {}
 
 /** Options of {@link EndpointLoads}. */
 export interface EndpointLoadsOptions {
@@ -74,47 +45,51 @@
  * failures and latencies.
  */
 export class EndpointLoads {
-  private readonly localWorkByEndpoint = new Map<string, OpenWork>();
-  private readonly workByGateway = new Map<
-    string,
-    ReadonlyMap<string, OpenWork>
-  >();
-  private readonly averages = new Map<string, Averages>();
-  private millisecondsPerPromptToken = INITIAL_MILLISECONDS_PER_PROMPT_TOKEN;
+  private readonly work = new OpenWorkTable();
+  private readonly averages: EndpointAverages;
+  private readonly paces: EndpointPaces;
 
   /**
    * @param options - Clock and network round-trip times
    */
-  constructor(private readonly options: EndpointLoadsOptions) {}
+  constructor(private readonly options: EndpointLoadsOptions) {
+    this.averages = new EndpointAverages(options);
+    this.paces = new EndpointPaces(options);
+  }
 
   /** Unfinished work of this gateway by endpoint ID. */
   get localWork(): ReadonlyMap<string, OpenWork> {
-    return this.localWorkByEndpoint;
+    return this.work.local;
   }
 
-  /** Replaces the work that another gateway has reported, by endpoint ID. */
-  setGatewayWork(gateway: string, work: ReadonlyMap<string, OpenWork>): void {
-    this.workByGateway.set(gateway, work);
+  /** Replaces the work and estimates that another gateway has reported. */
+  setGatewayWork(
+    gateway: string,
+    work: ReadonlyMap<string, ReportedWork>,
+  ): void {
+    this.work.setReported(gateway, work);
+    this.paces.setReports(gateway, work);
   }
 
   /** Removes the reported work of a gateway that is no longer active. */
   removeGateway(gateway: string): void {
-    this.workByGateway.delete(gateway);
+    this.work.removeGateway(gateway);
+    this.paces.removeGateway(gateway);
   }
 
   /** Adds work of this gateway at an endpoint. */
   add(endpointId: string, work: Partial<OpenWork>): void {
-    this.adjustWork(endpointId, work, 1);
+    this.work.adjust(endpointId, work, 1);
   }
 
   /** Subtracts work that was added before. */
   remove(endpointId: string, work: Partial<OpenWork>): void {
-    this.adjustWork(endpointId, work, -1);
+    this.work.adjust(endpointId, work, -1);
   }
 
   /** Counts the prompt tokens queued for prefill at an engine. */
   countPendingPromptTokens(endpointId: string): number {
-    return this.sumWork(endpointId).promptTokens;
+    return this.work.sum(endpointId).promptTokens;
   }
 
   /**
@@ -130,20 +105,24 @@
     promptTokens: number,
     milliseconds: number,
   ): void {
-    const averages = this.computeDecayedAverages(endpointId);
-    averages.failureShare -= AVERAGE_WEIGHT * averages.failureShare;
-    if (promptTokens > 0) {
-      const perToken = milliseconds / promptTokens;
-      const ratio = perToken / this.millisecondsPerPromptToken;
-      const bounded = Math.min(
-        MAXIMUM_SLOWDOWN,
-        Math.max(MINIMUM_SLOWDOWN, ratio),
-      );
-      averages.slowdown += AVERAGE_WEIGHT * (bounded - averages.slowdown);
-      this.millisecondsPerPromptToken +=
-        AVERAGE_WEIGHT * (perToken - this.millisecondsPerPromptToken);
-    }
-    this.averages.set(endpointId, averages);
+    this.averages.recordFirstEvent(endpointId, promptTokens, milliseconds);
+  }
+
+  /**
+   * Records the time between two events of a generation.
+   *
+   * @param endpointId - Engine
+   * @param milliseconds - Time since the previous event
+   */
+  recordEvent(endpointId: string, milliseconds: number): void {
+    const {requests} = this.work.sum(endpointId);
+    const slowdown = computeBatchSlowdown(requests);
+    this.paces.recordSample(endpointId, milliseconds, slowdown);
+  }
+
+  /** Records the load that an endpoint states in a response. */
+  recordLoad(endpointId: string, load: ReportedLoad | undefined): void {
+    this.paces.recordLoad(endpointId, load);
   }
 
   /**
@@ -152,26 +131,32 @@
    * @param endpointId - Endpoint that received the attempt
    * @param failed - True when the endpoint failed or rejected it
    * @param milliseconds - Response time; absent without a response
+   * @param slots - Concurrent requests of a plain endpoint; absent for engines,
+   *   whose response time shows nothing of their pace
    */
   recordOutcome(
     endpointId: string,
     failed: boolean,
     milliseconds?: number,
+    slots?: number,
   ): void {
-    const averages = this.computeDecayedAverages(endpointId);
-    const weight = AVERAGE_WEIGHT;
-    averages.failureShare +=
-      weight * ((failed ? 1 : 0) - averages.failureShare);
-    if (milliseconds !== undefined) {
-      averages.latencyMilliseconds +=
-        weight * (milliseconds - averages.latencyMilliseconds);
+    this.averages.recordOutcome(endpointId, failed, milliseconds);
+    if (milliseconds !== undefined && slots !== undefined) {
+      const others = this.work.sum(endpointId).requests - 1;
+      const slowdown = computeQueueFactor(others, slots);
+      this.paces.recordSample(endpointId, milliseconds, slowdown);
     }
-    this.averages.set(endpointId, averages);
   }
 
-  /** Removes the averages of an endpoint that has left. */
+  /** Removes the averages and the pace of an endpoint that has left. */
   removeAverages(endpointId: string): void {
-    this.averages.delete(endpointId);
+    this.averages.remove(endpointId);
+    this.paces.remove(endpointId);
+  }
+
+  /** Returns own estimates of the pace in microseconds, by endpoint ID. */
+  createPaceReport(): ReadonlyMap<string, number> {
+    return this.paces.createReport();
   }
 
   /**
@@ -186,8 +171,15 @@
   ): EndpointCandidate[] {
     const engine = service?.engine;
     const computeShare = this.createShareFunction(entries, service);
+    const paces = this.paces.estimateAll(
+      service?.name ?? '',
+      entries.map(({id}) => id),
+    );
     return entries.map(entry =>
-      this.computeCandidate(entry, engine, computeShare(entry)),
+      this.computeCandidate(entry, engine, {
+        evacuationShare: computeShare(entry),
+        paceMilliseconds: paces.get(entry.id),
+      }),
     );
   }
 
@@ -202,7 +194,7 @@
     }
     const readMemory = (entry: EndpointEntry) => ({
       ...entry,
-      usedTokens: this.sumWork(entry.id).tokens,
+      usedTokens: this.work.sum(entry.id).tokens,
     });
     const draining = this.options.findDraining(service?.name ?? '');
     const group = {
@@ -220,10 +212,13 @@
   private computeCandidate(
     entry: EndpointEntry,
     engine: EngineProfile | undefined,
-    evacuationShare: number,
+    {
+      evacuationShare,
+      paceMilliseconds,
+    }: {evacuationShare: number; paceMilliseconds: number | undefined},
   ): EndpointCandidate {
-    const work = this.sumWork(entry.id);
-    const averages = this.computeDecayedAverages(entry.id);
+    const work = this.work.sum(entry.id);
+    const averages = this.averages.read(entry.id);
     return {
       entry,
       id: entry.id,
@@ -239,76 +234,39 @@
       failureShare: averages.failureShare,
       waitMilliseconds:
         engine === undefined
-          ? predictCallMilliseconds(averages, work, entry.slots)
+          ? (paceMilliseconds ?? averages.latencyMilliseconds) *
+            computeQueueFactor(work.requests, entry.slots)
           : work.promptTokens *
-            this.millisecondsPerPromptToken *
+            averages.millisecondsPerPromptToken *
             averages.slowdown,
+      decoding: predictDecoding(engine, paceMilliseconds, work.requests),
     };
   }
+}
 
-  private adjustWork(
-    endpointId: string,
-    {requests = 0, tokens = 0, promptTokens = 0}: Partial<OpenWork>,
-    sign: 1 | -1,
-  ): void {
-    const work = this.localWorkByEndpoint.get(endpointId) ?? NO_WORK;
-    const changed = {
-      requests: work.requests + sign * requests,
-      tokens: work.tokens + sign * tokens,
-      promptTokens: work.promptTokens + sign * promptTokens,
-    };
-    if (changed.requests <= 0 && changed.tokens <= 0) {
-      this.localWorkByEndpoint.delete(endpointId);
-    } else {
-      this.localWorkByEndpoint.set(endpointId, changed);
-    }
-  }
-
-  private sumWork(endpointId: string): OpenWork {
-    const sum = {requests: 0, tokens: 0, promptTokens: 0};
-    for (const work of [
-      this.localWorkByEndpoint,
-      ...this.workByGateway.values(),
-    ]) {
-      const open = work.get(endpointId) ?? NO_WORK;
-      sum.requests += open.requests;
-      sum.tokens += open.tokens;
-      sum.promptTokens += open.promptTokens;
-    }
-    return sum;
-  }
-
-  private computeDecayedAverages(endpointId: string): Averages {
-    const now = this.options.now();
-    const previous = this.averages.get(endpointId);
-    if (previous === undefined) {
-      return {
-        failureShare: 0,
-        latencyMilliseconds: 0,
-        slowdown: 1,
-        updatedAt: now,
-      };
-    }
-    const remainingWeight =
-      0.5 ** ((now - previous.updatedAt) / AVERAGE_HALF_LIFE_MILLISECONDS);
-    return {
-      failureShare: previous.failureShare * remainingWeight,
-      latencyMilliseconds: previous.latencyMilliseconds * remainingWeight,
-      slowdown: 1 + (previous.slowdown - 1) * remainingWeight,
-      updatedAt: now,
-    };
+/** Predicts the time between events once an engine also runs the request. */
+function predictDecoding(
+  engine: EngineProfile | undefined,
+  paceMilliseconds: number | undefined,
+  requests: number,
+): EndpointState['decoding'] {
+  if (engine === undefined || paceMilliseconds === undefined) {
+    return undefined;
   }
+  return {
+    eventMilliseconds: paceMilliseconds * computeBatchSlowdown(requests + 1),
+    tokensPerEvent: engine.tokensPerEvent,
+  };
 }
 
-/** Predicts the response time of a plain service, including queueing. */
-function predictCallMilliseconds(
-  {latencyMilliseconds}: Averages,
-  {requests}: OpenWork,
-  slots: number,
-): number {
+/**
+ * Computes how many times longer a call to a plain service takes than without a
+ * queue.
+ */
+function computeQueueFactor(otherRequests: number, slots: number): number {
   const slotCount = Math.max(1, slots);
-  const queued = Math.max(0, requests + 1 - slotCount);
-  return latencyMilliseconds * (1 + queued / slotCount);
+  const queued = Math.max(0, otherRequests + 1 - slotCount);
+  return 1 + queued / slotCount;
 }
 
 /** Returns a function that computes one value for all arguments of a key. */
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -154,11 +154,15 @@
         reason: result.kind === 'whole' ? undefined : result.reason,
       });
     }
+    if (attempt.kind === 'answered') {
+      loads.recordLoad(entry.id, attempt.metadata.load);
+    }
     const failed = !isSuccess(result);
     loads.recordOutcome(
       entry.id,
       failed,
       failed ? undefined : clock.now() - sentAt,
+      entry.slots,
     );
     return result;
   } finally {
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -31,6 +31,7 @@
 } from '../error_response/error_response.js';
 import {LastRequests} from '../last_requests/last_requests.js';
 import type {OpenRequest} from '../open_request/open_request.js';
+import {NO_WORK} from '../open_work_table/open_work_table.js';
 import {readBody} from '../read_body/read_body.js';
 import {recordExchange} from '../record_exchange/record_exchange.js';
 import {resolveStreamOrigin} from '../resolve_stream_origin/resolve_stream_origin.js';
@@ -42,6 +43,12 @@
 /** Largest value of a field of 32 bits. */
 const MAXIMUM_REPORTED_TOKENS = 2 ** 32 - 1;
 
+/**
+ * Estimates of endpoints without own work in a report, so that it usually fits
+ * into one Ethernet frame.
+ */
+const MAXIMUM_IDLE_ESTIMATES = 12;
+
 /** Options of {@link ForwardingGateway}. */
 export interface ForwardingGatewayOptions {
   /** Returns the current configuration and its age. */
@@ -98,17 +105,28 @@
     this.server.applyLimits(limits);
   }
 
-  /** Returns this gateway's work by endpoint, to send to other gateways. */
+  /**
+   * Returns this gateway's work by endpoint, to send to other gateways, then the
+   * estimated pace of endpoints without work, which a full report leaves out.
+   */
   readWork(): EndpointWork[] {
     const movable = this.evacuator.countMovableRuns();
-    return [...this.context.loads.localWork].map(([endpoint, work]) => ({
-      endpoint,
-      requests: work.requests,
-      tokens: toReportedTokens(work.tokens),
-      promptTokens: toReportedTokens(work.promptTokens),
-      movableRuns: movable.get(endpoint) ?? 0,
-      eventMicroseconds: 0,
-    }));
+    const {loads} = this.context;
+    const paces = loads.createPaceReport();
+    const busy = [...loads.localWork];
+    const idle = [...paces.keys()]
+      .filter(id => !loads.localWork.has(id))
+      .slice(0, MAXIMUM_IDLE_ESTIMATES);
+    return [...busy, ...idle.map(id => [id, NO_WORK] as const)].map(
+      ([endpoint, work]) => ({
+        endpoint,
+        requests: work.requests,
+        tokens: toReportedTokens(work.tokens),
+        promptTokens: toReportedTokens(work.promptTokens),
+        movableRuns: movable.get(endpoint) ?? 0,
+        eventMicroseconds: paces.get(endpoint) ?? 0,
+      }),
+    );
   }
 
   /**
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -408,6 +408,7 @@
       logFailedAttempt(exchange, context, endpoint.id, NOT_EVENTS.reason);
       return NOT_EVENTS;
     }
+    context.loads.recordLoad(endpoint.id, result.metadata.load);
     this.writer.recordResponse(result.response);
     const stream: EndpointStream = new EndpointStream({
       endpoint,
@@ -426,7 +427,11 @@
           stream.stop('the endpoint came back with other software');
           return undefined;
         }
-        return this.writer.write(event);
+        const drained = this.writer.write(event);
+        if (drained !== undefined) {
+          countedWork.recordPause();
+        }
+        return drained;
       },
     });
     return {kind: 'leg', stream};
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,7 +5,9 @@
 export * from './admission_rules/admission_rules.js';
 export * from './byte_budget/byte_budget.js';
 export * from './choose_endpoint/choose_endpoint.js';
+export * from './compute_batch_slowdown/compute_batch_slowdown.js';
 export * from './compute_engine_priority/compute_engine_priority.js';
+export * from './compute_median/compute_median.js';
 export * from './compute_return_delay/compute_return_delay.js';
 export * from './compute_shutdown_schedule/compute_shutdown_schedule.js';
 export * from './decide_evacuation_turn/decide_evacuation_turn.js';
@@ -21,6 +23,7 @@
 export * from './length_distribution/length_distribution.js';
 export * from './length_model/length_model.js';
 export * from './margin_controller/margin_controller.js';
+export * from './pace_estimator/pace_estimator.js';
 export * from './peak_predictor/peak_predictor.js';
 export * from './request/request.js';
 export * from './retry_budget/retry_budget.js';
--- a/packages/scheduling/src/select_endpoint/select_endpoint.test.ts
+++ b/packages/scheduling/src/select_endpoint/select_endpoint.test.ts
@@ -113,6 +113,62 @@
     });
   });
 
+  describe('pace of engines', () => {
+    const memoryTokens = 27_000;
+    const fast = createState('fast', {
+      memoryTokens,
+      decoding: {eventMilliseconds: 27, tokensPerEvent: 4},
+    });
+    const slow = createState('slow', {
+      memoryTokens,
+      decoding: {eventMilliseconds: 64, tokensPerEvent: 4},
+    });
+    const selectFor = (states: readonly EndpointState[], tokens: number) =>
+      selectEndpoint(states, {
+        random: () => 0.5,
+        neededTokens: 3_000 + tokens,
+        output: {tokens, targetGapMilliseconds: 180},
+      })?.id;
+
+    it('sends a long output to the fast engine, though more of it is in use', () => {
+      const used = {...fast, usedTokens: 15_000, openRequests: 6};
+      assert.equal(selectFor([slow, used], 750), 'fast');
+    });
+
+    it('sends a short output to the slow engine once the fast one is busier', () => {
+      const used = {...fast, usedTokens: 12_000, openRequests: 4};
+      assert.equal(selectFor([used, slow], 8), 'slow');
+    });
+
+    it('does not overfill the memory of the fast engine', () => {
+      const full = {...fast, usedTokens: 22_500};
+      assert.equal(selectFor([full, slow], 750), 'slow');
+    });
+
+    it('does not queue a long output behind two prompts of the fast engine', () => {
+      const busy = {...fast, waitMilliseconds: 600};
+      assert.equal(selectFor([busy, slow], 750), 'slow');
+    });
+
+    it('avoids an engine whose events would be late in a slow phase', () => {
+      const late = createState('late', {
+        decoding: {eventMilliseconds: 120, tokensPerEvent: 40},
+      });
+      const far = createState('far', {
+        decoding: {eventMilliseconds: 50, tokensPerEvent: 40},
+        roundTripMilliseconds: 24,
+        waitMilliseconds: 120,
+      });
+      assert.equal(selectFor([late, far], 750), 'far');
+    });
+
+    it('selects as before among engines that do not state their pace', () => {
+      const near = createState('near');
+      const far = createState('far', {roundTripMilliseconds: 24});
+      assert.equal(selectFor([far, near], 750), 'near');
+    });
+  });
+
   it('breaks ties between equal endpoints at random', () => {
     const states = ['a', 'b', 'c'].map(id => createState(id));
     const draws = [0.9, 0.1, 0.5];
--- a/packages/scheduling/src/select_endpoint/select_endpoint.ts
+++ b/packages/scheduling/src/select_endpoint/select_endpoint.ts
@@ -32,6 +32,19 @@
   readonly failureShare: number;
   /** Predicted time to an answer or to the first event, in milliseconds. */
   readonly waitMilliseconds: number;
+  /** Predicted decoding; absent for endpoints that do not state their pace. */
+  readonly decoding?: {
+    /** Time between two events of a stream, in milliseconds. */
+    readonly eventMilliseconds: number;
+    readonly tokensPerEvent: number;
+  };
+}
+
+/** Output that a request is expected to produce. */
+export interface ExpectedOutput {
+  readonly tokens: number;
+  /** Target of the time between two events, in milliseconds. */
+  readonly targetGapMilliseconds: number;
 }
 
 /** Options of {@link selectEndpoint}. */
@@ -40,6 +53,8 @@
   readonly random: () => number;
   /** Expected memory use of the request, in tokens. */
   readonly neededTokens: number;
+  /** Output of a generation; absent for calls. */
+  readonly output?: ExpectedOutput;
 }
 
 /** Share of an engine's memory above which preemptions become likely. */
@@ -88,6 +103,29 @@
 /** Cost of a certain failure: about the duration of a retry. */
 const FAILURE_COST_MILLISECONDS = 400;
 
+/**
+ * Cost per millisecond of expected decode time: a longer run occupies memory for
+ * longer and is interrupted more often. An output of 750 tokens costs 350 ms
+ * more on an engine that needs 12 s for it than on one that needs 5 s, less than
+ * a second prompt before it or a memory that is nearly full.
+ */
+const DECODE_TIME_COST = 0.05;
+
+/** Factor by which a short slow phase lengthens the time between two events. */
+const SLOW_PHASE_FACTOR = 2.5;
+
+/** Share of the time that an endpoint spends in slow phases. */
+const SLOW_PHASE_SHARE = 0.15;
+
+/** Share of the target gap above which some events are expected to be late. */
+const GAP_PRESSURE_SHARE = 0.8;
+
+/** Cost per target gap above the pressure share, if a slow phase is certain. */
+const LATE_EVENT_COST_MILLISECONDS = 400;
+
+/** Largest excess over the target gap that adds to the cost. */
+const MAXIMUM_GAP_EXCESS = 2;
+
 /**
  * Upper bound of the random cost that breaks ties between candidates, so that
  * gateways do not all select the same endpoint.
@@ -99,7 +137,8 @@
  *
  * The cost is a time in milliseconds: the round trip, the predicted wait, the
  * slowdown by a larger batch, and the risk of a preemption, of an interrupted
- * run or of a failed attempt.
+ * run or of a failed attempt. Engines that state their pace also cost a part of
+ * the expected decode time, and the risk of late events.
  *
  * @param candidates - Endpoints that may receive the request
  * @param options - Random source and size of the request
@@ -117,6 +156,7 @@
   for (const candidate of candidates) {
     const cost =
       estimateCost(candidate, options.neededTokens) +
+      estimateDecodeCost(candidate, options.output) +
       options.random() * TIE_BREAK_JITTER_MILLISECONDS;
     if (cost < bestCost) {
       best = candidate;
@@ -144,6 +184,27 @@
   );
 }
 
+function estimateDecodeCost(
+  {decoding}: EndpointState,
+  output: ExpectedOutput | undefined,
+): number {
+  if (decoding === undefined || output === undefined) {
+    return 0;
+  }
+  const gaps = Math.max(0, output.tokens / decoding.tokensPerEvent - 1);
+  const decodeMilliseconds = gaps * decoding.eventMilliseconds;
+  const slowGapMilliseconds = decoding.eventMilliseconds * SLOW_PHASE_FACTOR;
+  const excess =
+    slowGapMilliseconds / output.targetGapMilliseconds - GAP_PRESSURE_SHARE;
+  const slowPhaseProbability = 1 - (1 - SLOW_PHASE_SHARE) ** gaps;
+  return (
+    decodeMilliseconds * DECODE_TIME_COST +
+    Math.min(MAXIMUM_GAP_EXCESS, Math.max(0, excess)) *
+      slowPhaseProbability *
+      LATE_EVENT_COST_MILLISECONDS
+  );
+}
+
 function computeExcessEvacuationShare({
   evacuationShare,
 }: EndpointState): number {
