Limit the open requests of endpoints that start, return or fail

Cause: an endpoint that had just started was chosen by all gateways at once because it was empty, and one that failed kept its share of requests until its callers were late.

Change: ConcurrencyRamp starts a new endpoint at 2 open requests of all gateways, raises the limit with each response in time and halves it at refusals, broken responses and late ones; at most once in 250 ms. Responses with 500 do not change the limit: they are part of usual service on some routes, and the failure share counts them. A virtual-time fleet (packages/stand_ins/src/pace) runs the real choice and accounting.

--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -176,6 +176,9 @@
         cold: entry.coldMilliseconds,
         source,
       });
+      if (source === 'peer' || state.storeState.hasEndpoints) {
+        components.loads.startRamp(entry);
+      }
       // The first snapshot contains no endpoints that are new to the others.
       if (source === 'store' && state.storeState.hasEndpoints) {
         state.arrivals.add(entry);
--- a/packages/forwarding/src/count_engine_work/count_engine_work.ts
+++ b/packages/forwarding/src/count_engine_work/count_engine_work.ts
@@ -51,6 +51,7 @@
   if (checkpointHolder !== undefined) {
     loads.add(checkpointHolder.id, {tokens});
   }
+  const openRequests = loads.countOpenRequests(endpoint.id);
   context.onWorkStarted();
   let isPrefilled = false;
   let eventAt: number | undefined;
@@ -62,15 +63,15 @@
   };
   return {
     recordEvent: () => {
+      const now = clock.now();
       if (!isPrefilled && promptTokens > 0) {
-        loads.recordFirstEvent(
-          endpoint.id,
-          prefillTokens,
-          clock.now() - sentAt,
-        );
+        const milliseconds = now - sentAt;
+        const isInTime =
+          milliseconds <= exchange.route.targetLatencyMilliseconds;
+        loads.recordFirstEvent(endpoint.id, prefillTokens, milliseconds);
+        loads.recordServed(endpoint, {openRequests, isInTime});
       }
       completePrefill();
-      const now = clock.now();
       if (eventAt !== undefined) {
         loads.recordEvent(endpoint.id, now - eventAt);
       }
--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.test.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.test.ts
@@ -123,4 +123,66 @@
     assert.equal(a?.evacuationShare, 0.5);
     assert.equal(single?.evacuationShare, Number.POSITIVE_INFINITY);
   });
+
+  describe('pace', () => {
+    const entry = createEntry('a');
+    const load = {running: 1, waiting: 0, slots: 8};
+
+    it('changes nothing while responses state three figures', () => {
+      const {loads, time, computeCandidate} = createLoads();
+      const before = computeCandidate('a', SERVICE);
+      loads.startRamp(entry);
+      loads.recordLoad('a', load);
+      loads.recordEvent('a', 30);
+      loads.recordFault(entry);
+      loads.recordServed(entry, {openRequests: 1, isInTime: false});
+      time.now = 1_000;
+      assert.deepEqual(computeCandidate('a', SERVICE), before);
+      assert.equal(loads.createPaceReport().size, 0);
+    });
+
+    it('predicts the time between events for a batch with the request', () => {
+      const {loads, computeCandidate} = createLoads();
+      loads.recordLoad('a', {...load, pacePercent: 100});
+      loads.recordEvent('a', 28);
+      const first = computeCandidate('a', SERVICE)?.decoding;
+      assert.equal(first?.tokensPerEvent, 4);
+      assert.ok(Math.abs((first?.eventMilliseconds ?? 0) - 28.48) < 0.01);
+    });
+
+    it('limits a new endpoint once its service states the pace', () => {
+      const {loads, computeCandidate} = createLoads();
+      const other = {requests: 0, tokens: 0, promptTokens: 0};
+      const report = new Map([['a', {...other, eventMicroseconds: 28_000}]]);
+      loads.startRamp(entry);
+      assert.equal(computeCandidate('a', SERVICE)?.concurrencyLimit, 8);
+      loads.setGatewayWork('front-2', report);
+      assert.equal(computeCandidate('a', SERVICE)?.concurrencyLimit, 2);
+    });
+
+    it('starts again when an endpoint restarts', () => {
+      const {loads, computeCandidate} = createLoads();
+      loads.recordLoad('a', {...load, pacePercent: 100});
+      loads.recordEvent('a', 28);
+      loads.recordFault(entry);
+      assert.equal(computeCandidate('a', SERVICE)?.concurrencyLimit, 4);
+      loads.removeAverages('a');
+      assert.equal(computeCandidate('a', SERVICE)?.concurrencyLimit, 8);
+      assert.equal(computeCandidate('a', SERVICE)?.decoding, undefined);
+    });
+
+    it('predicts the wait of a plain endpoint from its pace', () => {
+      const {loads, time, computeCandidate} = createLoads();
+      loads.recordLoad('a', {...load, pacePercent: 100});
+      for (let index = 0; index < 15; index += 1) {
+        time.now += 110;
+        loads.add('a', {requests: 1});
+        loads.recordOutcome('a', false, 60, 8);
+        loads.remove('a', {requests: 1});
+      }
+      assert.equal(computeCandidate('a', undefined)?.waitMilliseconds, 60);
+      loads.add('a', {requests: 12});
+      assert.ok((computeCandidate('a', undefined)?.waitMilliseconds ?? 0) > 90);
+    });
+  });
 });
--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
@@ -6,12 +6,17 @@
   EngineProfile,
   RoutedService,
 } from '@briarpin/coordination';
-import {computeBatchSlowdown, type EndpointState} from '@briarpin/scheduling';
+import {
+  computeBatchSlowdown,
+  type EndpointState,
+  type ServedRequest,
+} from '@briarpin/scheduling';
 
-import {computeEvacuationShare} from '../compute_evacuation_share/compute_evacuation_share.js';
 import {computeCopyMilliseconds} from '../compute_copy_milliseconds/compute_copy_milliseconds.js';
+import {createShareFunction} from '../create_share_function/create_share_function.js';
 import type {ReportedLoad} from '../dialect/dialect.js';
 import {EndpointAverages} from '../endpoint_averages/endpoint_averages.js';
+import {EndpointRamps} from '../endpoint_ramps/endpoint_ramps.js';
 import {
   EndpointPaces,
   type ReportedPace,
@@ -48,6 +53,7 @@
   private readonly work = new OpenWorkTable();
   private readonly averages: EndpointAverages;
   private readonly paces: EndpointPaces;
+  private readonly ramps: EndpointRamps;
 
   /**
    * @param options - Clock and network round-trip times
@@ -55,6 +61,7 @@
   constructor(private readonly options: EndpointLoadsOptions) {
     this.averages = new EndpointAverages(options);
     this.paces = new EndpointPaces(options);
+    this.ramps = new EndpointRamps(options);
   }
 
   /** Unfinished work of this gateway by endpoint ID. */
@@ -148,10 +155,35 @@
     }
   }
 
-  /** Removes the averages and the pace of an endpoint that has left. */
+  /** Removes the averages, pace and limit of an endpoint that has left. */
   removeAverages(endpointId: string): void {
     this.averages.remove(endpointId);
     this.paces.remove(endpointId);
+    this.ramps.remove(endpointId);
+  }
+
+  /** Limits the open requests of an endpoint that is new or has returned. */
+  startRamp(entry: EndpointEntry): void {
+    this.ramps.start(entry);
+  }
+
+  /** Counts the open requests of all gateways at an endpoint. */
+  countOpenRequests(endpointId: string): number {
+    return this.work.sum(endpointId).requests;
+  }
+
+  /** Records a response that changes the limit of an endpoint. */
+  recordServed(entry: EndpointEntry, served: ServedRequest): void {
+    if (this.paces.isStated(entry.id)) {
+      this.ramps.recordServed(entry, served);
+    }
+  }
+
+  /** Records a refusal of an endpoint, a broken response or none. */
+  recordFault(entry: EndpointEntry): void {
+    if (this.paces.isStated(entry.id)) {
+      this.ramps.recordFault(entry);
+    }
   }
 
   /** Returns own estimates of the pace in microseconds, by endpoint ID. */
@@ -170,7 +202,10 @@
     service: RoutedService | undefined,
   ): EndpointCandidate[] {
     const engine = service?.engine;
-    const computeShare = this.createShareFunction(entries, service);
+    const computeShare = createShareFunction(entries, service, {
+      countTokens: id => this.work.sum(id).tokens,
+      findDraining: this.options.findDraining,
+    });
     const paces = this.paces.estimateAll(
       service?.name ?? '',
       entries.map(({id}) => id),
@@ -183,32 +218,6 @@
     );
   }
 
-  /** Returns the function that computes evacuation shares; 0 without moves. */
-  private createShareFunction(
-    entries: readonly EndpointEntry[],
-    service: RoutedService | undefined,
-  ): (entry: EndpointEntry) => number {
-    const engine = service?.engine;
-    if (engine?.supportsMoves !== true) {
-      return () => 0;
-    }
-    const readMemory = (entry: EndpointEntry) => ({
-      ...entry,
-      usedTokens: this.work.sum(entry.id).tokens,
-    });
-    const draining = this.options.findDraining(service?.name ?? '');
-    const group = {
-      ready: entries.map(readMemory),
-      draining: draining.map(readMemory),
-    };
-    return memoize(
-      ({availabilityZone, softwareVersion}) =>
-        JSON.stringify([availabilityZone, softwareVersion]),
-      entry =>
-        computeEvacuationShare(readMemory(entry), group, engine.memoryTokens),
-    );
-  }
-
   private computeCandidate(
     entry: EndpointEntry,
     engine: EngineProfile | undefined,
@@ -218,13 +227,23 @@
     }: {evacuationShare: number; paceMilliseconds: number | undefined},
   ): EndpointCandidate {
     const work = this.work.sum(entry.id);
+    const own = this.work.local.get(entry.id)?.requests ?? 0;
     const averages = this.averages.read(entry.id);
     return {
       entry,
       id: entry.id,
       openRequests: work.requests,
       slots: Math.max(1, entry.slots),
-      concurrencyLimit: Math.max(1, entry.slots),
+      concurrencyLimit:
+        paceMilliseconds === undefined
+          ? Math.max(1, entry.slots)
+          : this.ramps.readLimit(entry, {
+              others: work.requests - own,
+              answered:
+                engine !== undefined && work.promptTokens === 0
+                  ? work.requests
+                  : 0,
+            }),
       usedTokens: work.tokens,
       memoryTokens: engine?.memoryTokens ?? Number.POSITIVE_INFINITY,
       evacuationShare,
@@ -268,17 +287,3 @@
   const queued = Math.max(0, otherRequests + 1 - slotCount);
   return 1 + queued / slotCount;
 }
-
-/** Returns a function that computes one value for all arguments of a key. */
-function memoize<Argument, Value>(
-  getKey: (argument: Argument) => string,
-  compute: (argument: Argument) => Value,
-): (argument: Argument) => Value {
-  const values = new Map<string, Value>();
-  return argument => {
-    const key = getKey(argument);
-    const value = values.get(key) ?? compute(argument);
-    values.set(key, value);
-    return value;
-  };
-}
--- a/packages/forwarding/src/endpoint_paces/endpoint_paces.ts
+++ b/packages/forwarding/src/endpoint_paces/endpoint_paces.ts
@@ -77,6 +77,11 @@
     this.tracked.set(endpointId, tracked);
   }
 
+  /** Returns whether a response of an endpoint has stated its pace. */
+  isStated(endpointId: string): boolean {
+    return this.tracked.has(endpointId);
+  }
+
   /**
    * Records a sample of an endpoint that states its pace.
    *
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -23,6 +23,7 @@
 } from '../exchange/exchange.js';
 import {logUnframedEnd} from '../log_attempts/log_attempts.js';
 import {permitRetry} from '../permit_retry/permit_retry.js';
+import {showsFault} from '../shows_fault/shows_fault.js';
 
 /**
  * `Retry-After` of a call that no endpoint can accept: a few times the service
@@ -143,6 +144,7 @@
   const {loads, clock} = context;
   const sentAt = clock.now();
   loads.add(entry.id, {requests: 1});
+  const openRequests = loads.countOpenRequests(entry.id);
   try {
     const attempt = await context.client.send(
       createAttempt(exchange, context, entry),
@@ -158,12 +160,19 @@
       loads.recordLoad(entry.id, attempt.metadata.load);
     }
     const failed = !isSuccess(result);
+    const milliseconds = clock.now() - sentAt;
     loads.recordOutcome(
       entry.id,
       failed,
-      failed ? undefined : clock.now() - sentAt,
+      failed ? undefined : milliseconds,
       entry.slots,
     );
+    if (!failed) {
+      const isInTime = milliseconds <= exchange.route.targetLatencyMilliseconds;
+      loads.recordServed(entry, {openRequests, isInTime});
+    } else if (result.kind !== 'whole' && showsFault(exchange, context)) {
+      loads.recordFault(entry);
+    }
     return result;
   } finally {
     loads.remove(entry.id, {requests: 1});
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -2,6 +2,7 @@
  * Forwards requests unchanged, by route, to a changing set of endpoints.
  */
 export * from './admit_request/admit_request.js';
+export * from './count_engine_work/count_engine_work.js';
 export * from './choose_placement/choose_placement.js';
 export * from './crash_quarantine/crash_quarantine.js';
 export * from './dialect/dialect.js';
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -38,6 +38,7 @@
 } from '../log_attempts/log_attempts.js';
 import {listMemoryHolders} from '../list_memory_holders/list_memory_holders.js';
 import {permitRetry} from '../permit_retry/permit_retry.js';
+import {showsFault} from '../shows_fault/shows_fault.js';
 import {pinStreamOrigin} from '../pin_stream_origin/pin_stream_origin.js';
 import type {StoppedRun} from '../run_evacuation/run_evacuation.js';
 import {RunMover} from '../run_mover/run_mover.js';
@@ -389,6 +390,9 @@
     if (!isStreamResponse(result)) {
       countedWork.release();
       context.loads.recordOutcome(endpoint.id, true);
+      if (result.kind !== 'answered' && showsFault(exchange, context)) {
+        context.loads.recordFault(endpoint);
+      }
       const failure = await readFailure(result);
       this.mayHaveRun ||= failure.kind !== 'failed' || failure.mayHaveRun;
       const reason =
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -10,6 +10,7 @@
 export * from './compute_median/compute_median.js';
 export * from './compute_return_delay/compute_return_delay.js';
 export * from './compute_shutdown_schedule/compute_shutdown_schedule.js';
+export * from './concurrency_ramp/concurrency_ramp.js';
 export * from './decide_evacuation_turn/decide_evacuation_turn.js';
 export * from './decide_last_request/decide_last_request.js';
 export * from './decide_quarantine/decide_quarantine.js';
--- a/packages/scheduling/src/select_endpoint/select_endpoint.test.ts
+++ b/packages/scheduling/src/select_endpoint/select_endpoint.test.ts
@@ -169,6 +169,33 @@
     });
   });
 
+  describe('limit of open requests', () => {
+    const atLimit = {concurrencyLimit: 2, openRequests: 2};
+
+    it('avoids an endpoint at its limit while another has room', () => {
+      const limited = createState('limited', atLimit);
+      const far = createState('far', {
+        openRequests: 7,
+        roundTripMilliseconds: 24,
+        waitMilliseconds: 600,
+      });
+      assert.equal(select([limited, far]), 'far');
+    });
+
+    it('never rejects, and spreads requests when all are at their limits', () => {
+      const limited = createState('limited', {...atLimit, openRequests: 6});
+      const other = createState('other', {...atLimit, openRequests: 3});
+      assert.equal(select([limited]), 'limited');
+      assert.equal(select([limited, other]), 'other');
+    });
+
+    it('does not count the slots as a limit', () => {
+      const full = createState('full', {openRequests: 8});
+      const far = createState('far', {roundTripMilliseconds: 60});
+      assert.equal(select([full, far]), 'full');
+    });
+  });
+
   it('breaks ties between equal endpoints at random', () => {
     const states = ['a', 'b', 'c'].map(id => createState(id));
     const draws = [0.9, 0.1, 0.5];
--- a/packages/scheduling/src/select_endpoint/select_endpoint.ts
+++ b/packages/scheduling/src/select_endpoint/select_endpoint.ts
@@ -111,6 +111,13 @@
  */
 const DECODE_TIME_COST = 0.05;
 
+/**
+ * Cost of a request beyond the limit of an endpoint that starts, returns or
+ * fails: more than any wait at an endpoint with room, since a flooded endpoint
+ * serves all of its requests late.
+ */
+const LIMIT_COST_MILLISECONDS = 1_000;
+
 /** Factor by which a short slow phase lengthens the time between two events. */
 const SLOW_PHASE_FACTOR = 2.5;
 
@@ -157,6 +164,7 @@
     const cost =
       estimateCost(candidate, options.neededTokens) +
       estimateDecodeCost(candidate, options.output) +
+      estimateLimitCost(candidate) +
       options.random() * TIE_BREAK_JITTER_MILLISECONDS;
     if (cost < bestCost) {
       best = candidate;
@@ -205,6 +213,22 @@
   );
 }
 
+/**
+ * Estimates the cost of exceeding a limit below the slots, which grows with the
+ * excess, so that requests spread when all endpoints are at their limits.
+ */
+function estimateLimitCost({
+  openRequests,
+  slots,
+  concurrencyLimit,
+}: EndpointState): number {
+  if (concurrencyLimit >= slots || openRequests < concurrencyLimit) {
+    return 0;
+  }
+  const excess = (openRequests + 1 - concurrencyLimit) / concurrencyLimit;
+  return (1 + excess) * LIMIT_COST_MILLISECONDS;
+}
+
 function computeExcessEvacuationShare({
   evacuationShare,
 }: EndpointState): number {
--- /dev/null
+++ b/packages/stand_ins/src/pace/simulate_paced_fleet.ts
@@ -0,0 +1,309 @@
+/**
+ * Simulates gateways that choose engines of different pace, in virtual time.
+ */
+import {VirtualClock, type EndpointEntry} from '@briarpin/coordination';
+import {
+  chooseEngine,
+  countEngineWork,
+  EndpointLoads,
+  type Exchange,
+  type ForwardingContext,
+  type ReportedWork,
+} from '@briarpin/forwarding';
+
+import {createRandom, type Random} from '../bench/seeded_random.js';
+import {PacedEngine, TOKENS_PER_EVENT} from './paced_engine.js';
+
+/** Interval of the reports between gateways; each start is reported as well. */
+const REPORT_INTERVAL_MILLISECONDS = 250;
+
+/** Most requests with reported estimates but without own work. */
+const MAXIMUM_IDLE_ESTIMATES = 12;
+
+/** Target of the time between two events. */
+const TARGET_GAP_MILLISECONDS = 180;
+
+const MEMORY_TOKENS = 26_888;
+const SLOTS = 24;
+
+/** Requests of one kind. */
+export interface PacedLoad {
+  readonly kind: 'long' | 'short';
+  readonly perSecond: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly targetLatencyMilliseconds: number;
+}
+
+/** How a request ended. */
+export interface PacedResult {
+  readonly kind: PacedLoad['kind'];
+  readonly engine: string;
+  readonly gateway: number;
+  readonly sentAt: number;
+  readonly outcome: 'done' | 'interrupted';
+  readonly firstEventMilliseconds: number;
+  readonly milliseconds: number;
+  readonly longestGapMilliseconds: number;
+  readonly isOnTime: boolean;
+}
+
+/** Options of {@link PacedFleet}. */
+export interface PacedFleetOptions {
+  readonly seed: number;
+  readonly gateways: number;
+  /** Time of the steps of each engine relative to the usual time. */
+  readonly factors: readonly number[];
+  readonly hasSlowPhases: boolean;
+  /** False if responses state three figures, as before. */
+  readonly statesPace: boolean;
+  readonly loads: readonly PacedLoad[];
+}
+
+interface SimulatedGateway {
+  readonly loads: EndpointLoads;
+  readonly context: ForwardingContext;
+  hasNews: boolean;
+}
+
+/** Gateways and engines that share one virtual clock. */
+export class PacedFleet {
+  readonly engines: PacedEngine[];
+  readonly gateways: SimulatedGateway[];
+  readonly results: PacedResult[] = [];
+  /** Chooses among the engines that are up; may be replaced by a test. */
+  findCandidates: (now: number) => readonly PacedEngine[] = () =>
+    this.engines.filter(({isUp}) => isUp);
+  private readonly clock = new VirtualClock();
+  private readonly random: Random;
+  private now = 0;
+
+  /**
+   * @param options - Size, pace and load
+   */
+  constructor(private readonly options: PacedFleetOptions) {
+    this.random = createRandom(options.seed);
+    this.engines = options.factors.map((factor, index) =>
+      this.createEngine(factor, index),
+    );
+    this.gateways = Array.from({length: options.gateways}, () =>
+      this.createGateway(),
+    );
+  }
+
+  /**
+   * Runs the fleet.
+   *
+   * @param milliseconds - Time to run
+   * @param onTick - Called once per millisecond, to stop or slow engines
+   */
+  run(milliseconds: number, onTick: (now: number) => void = () => {}): void {
+    const end = this.now + milliseconds;
+    while (this.now < end) {
+      this.now += 1;
+      onTick(this.now);
+      this.exchangeReports();
+      this.sendRequests();
+      this.engines.forEach(engine => engine.advance(this.now));
+    }
+  }
+
+  /** Adds a gateway that has just started, with the reports of all others. */
+  addGateway(): number {
+    this.gateways.push(this.createGateway());
+    this.gateways.forEach(gateway => (gateway.hasNews = true));
+    return this.gateways.length - 1;
+  }
+
+  /** Lets an engine return, as new to all gateways if `isNew`. */
+  returnEngine(index: number, isNew: boolean): void {
+    const engine = this.getEngine(index);
+    engine.isUp = true;
+    for (const {loads} of this.gateways) {
+      loads.removeAverages(engine.entry.id);
+      if (isNew) {
+        loads.startRamp(engine.entry);
+      }
+    }
+  }
+
+  /** Returns an engine by its index. */
+  getEngine(index: number): PacedEngine {
+    const engine = this.engines[index];
+    if (engine === undefined) {
+      throw new RangeError(`There is no engine ${index}.`);
+    }
+    return engine;
+  }
+
+  private createEngine(factor: number, index: number): PacedEngine {
+    const entry: EndpointEntry = {
+      id: `e-${index}`,
+      service: 'text',
+      host: '10.0.0.1',
+      port: 80,
+      availabilityZone: 'east-1',
+      softwareVersion: 'v1',
+      state: 'ready',
+      slots: SLOTS,
+      coldMilliseconds: 0,
+    };
+    return new PacedEngine({
+      entry,
+      factor,
+      memoryTokens: MEMORY_TOKENS,
+      hasSlowPhases: this.options.hasSlowPhases,
+      phaseOffset: this.random() * 1_000,
+    });
+  }
+
+  private createGateway(): SimulatedGateway {
+    const loads = new EndpointLoads({
+      now: () => this.now,
+      findDraining: () => [],
+      roundTripMilliseconds: () => 2,
+    });
+    const context = {
+      loads,
+      clock: {...this.clock, now: () => this.now},
+      random: this.random,
+      onWorkStarted: () => (gateway.hasNews = true),
+    } as unknown as ForwardingContext;
+    const gateway: SimulatedGateway = {loads, context, hasNews: false};
+    return gateway;
+  }
+
+  private exchangeReports(): void {
+    const isDue = this.now % REPORT_INTERVAL_MILLISECONDS === 0;
+    this.gateways.forEach((sender, index) => {
+      if (!sender.hasNews && !isDue) {
+        return;
+      }
+      sender.hasNews = false;
+      const report = createReport(sender.loads);
+      this.gateways
+        .filter(receiver => receiver !== sender)
+        .forEach(({loads}) => loads.setGatewayWork(`g-${index}`, report));
+    });
+  }
+
+  private sendRequests(): void {
+    for (const load of this.options.loads) {
+      if (this.random() < load.perSecond / 1_000) {
+        this.send(load, Math.floor(this.random() * this.gateways.length));
+      }
+    }
+  }
+
+  private send(load: PacedLoad, gatewayIndex: number): void {
+    const gateway = this.gateways[gatewayIndex];
+    const exchange = createExchange(load);
+    const candidates = this.findCandidates(this.now);
+    const entries = candidates.map(({entry}) => entry);
+    const context = gateway?.context;
+    const chosen =
+      context && chooseEngine(exchange, context, entries)?.entry.id;
+    const engine = candidates.find(({entry}) => entry.id === chosen);
+    if (context === undefined || engine === undefined) {
+      return;
+    }
+    const {entry} = engine;
+    const work = countEngineWork(exchange, context, {
+      endpoint: entry,
+      hasMemory: false,
+    });
+    const sentAt = this.now;
+    const events: number[] = [];
+    engine.submit({
+      promptTokens: load.promptTokens,
+      outputTokens: load.outputTokens,
+      readTokens: 0,
+      producedTokens: 0,
+      onEvent: () => {
+        if (events.length === 0) {
+          context.loads.recordLoad(entry.id, this.stateLoad(engine));
+        }
+        events.push(this.now);
+        work.recordEvent();
+      },
+      onEnd: outcome => {
+        work.release();
+        const timing = {sentAt, endedAt: this.now, events};
+        const gatewayAndEngine = {gateway: gatewayIndex, engine: entry.id};
+        this.results.push({
+          ...gatewayAndEngine,
+          ...summarise(load, timing, outcome),
+        });
+      },
+    });
+  }
+
+  private stateLoad(engine: PacedEngine) {
+    const load = {running: engine.openRuns, waiting: 0, slots: SLOTS};
+    return this.options.statesPace
+      ? {...load, pacePercent: engine.statePace(this.now)}
+      : load;
+  }
+}
+
+function createExchange(load: PacedLoad): Exchange {
+  return {
+    metadata: {
+      promptTokens: load.promptTokens,
+      maximumOutputTokens: 0,
+      estimatedOutputTokens: load.outputTokens,
+      promptParts: [],
+    },
+    route: {
+      targetGapMilliseconds: TARGET_GAP_MILLISECONDS,
+      targetLatencyMilliseconds: load.targetLatencyMilliseconds,
+    },
+    service: {
+      name: 'text',
+      engine: {
+        slots: SLOTS,
+        memoryTokens: MEMORY_TOKENS,
+        tokensPerEvent: TOKENS_PER_EVENT,
+        supportsMoves: false,
+      },
+    },
+  } as unknown as Exchange;
+}
+
+function createReport(loads: EndpointLoads): Map<string, ReportedWork> {
+  const paces = loads.createPaceReport();
+  const report = new Map<string, ReportedWork>();
+  for (const [id, work] of loads.localWork) {
+    report.set(id, {...work, eventMicroseconds: paces.get(id) ?? 0});
+  }
+  const idle = [...paces].filter(([id]) => !report.has(id));
+  for (const [id, eventMicroseconds] of idle.slice(0, MAXIMUM_IDLE_ESTIMATES)) {
+    const none = {requests: 0, tokens: 0, promptTokens: 0};
+    report.set(id, {...none, eventMicroseconds});
+  }
+  return report;
+}
+
+function summarise(
+  load: PacedLoad,
+  timing: {sentAt: number; endedAt: number; events: readonly number[]},
+  outcome: PacedResult['outcome'],
+): Omit<PacedResult, 'engine' | 'gateway'> {
+  const {sentAt, endedAt, events} = timing;
+  const gaps = events.slice(1).map((at, index) => at - (events[index] ?? at));
+  const longestGapMilliseconds = Math.max(0, ...gaps);
+  const firstEventMilliseconds =
+    (events[0] ?? Number.POSITIVE_INFINITY) - sentAt;
+  return {
+    kind: load.kind,
+    sentAt,
+    outcome,
+    firstEventMilliseconds,
+    milliseconds: endedAt - sentAt,
+    longestGapMilliseconds,
+    isOnTime:
+      outcome === 'done' &&
+      longestGapMilliseconds <= TARGET_GAP_MILLISECONDS &&
+      firstEventMilliseconds <= load.targetLatencyMilliseconds,
+  };
+}
