Predict the wait for prompts from the pace of the engine

Cause: a gateway sees few first events of each engine, so that its own ratio of prefill times was mostly 1, and slow engines got more prompts than they could read.

Change: where the pace is known, its ratio to the mean of the service takes the place of that average.

--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
@@ -19,6 +19,7 @@
 import {EndpointRamps} from '../endpoint_ramps/endpoint_ramps.js';
 import {
   EndpointPaces,
+  type EndpointPace,
   type ReportedPace,
 } from '../endpoint_paces/endpoint_paces.js';
 import {
@@ -213,7 +214,7 @@
     return entries.map(entry =>
       this.computeCandidate(entry, engine, {
         evacuationShare: computeShare(entry),
-        paceMilliseconds: paces.get(entry.id),
+        pace: paces.get(entry.id),
       }),
     );
   }
@@ -223,8 +224,8 @@
     engine: EngineProfile | undefined,
     {
       evacuationShare,
-      paceMilliseconds,
-    }: {evacuationShare: number; paceMilliseconds: number | undefined},
+      pace,
+    }: {evacuationShare: number; pace: EndpointPace | undefined},
   ): EndpointCandidate {
     const work = this.work.sum(entry.id);
     const own = this.work.local.get(entry.id)?.requests ?? 0;
@@ -235,7 +236,7 @@
       openRequests: work.requests,
       slots: Math.max(1, entry.slots),
       concurrencyLimit:
-        paceMilliseconds === undefined
+        pace === undefined
           ? Math.max(1, entry.slots)
           : this.ramps.readLimit(
               entry,
@@ -252,12 +253,12 @@
       failureShare: averages.failureShare,
       waitMilliseconds:
         engine === undefined
-          ? (paceMilliseconds ?? averages.latencyMilliseconds) *
+          ? (pace?.milliseconds ?? averages.latencyMilliseconds) *
             computeQueueFactor(work.requests, entry.slots)
           : work.promptTokens *
             averages.millisecondsPerPromptToken *
-            averages.slowdown,
-      decoding: predictDecoding(engine, paceMilliseconds, work.requests),
+            (pace?.ratio ?? averages.slowdown),
+      decoding: pace && predictDecoding(engine, pace, work.requests),
     };
   }
 }
@@ -273,16 +274,15 @@
 /** Predicts the time between events once an engine also runs the request. */
 function predictDecoding(
   engine: EngineProfile | undefined,
-  paceMilliseconds: number | undefined,
+  pace: EndpointPace,
   requests: number,
 ): EndpointState['decoding'] {
-  if (engine === undefined || paceMilliseconds === undefined) {
-    return undefined;
-  }
-  return {
-    eventMilliseconds: paceMilliseconds * computeBatchSlowdown(requests + 1),
-    tokensPerEvent: engine.tokensPerEvent,
-  };
+  return (
+    engine && {
+      eventMilliseconds: pace.milliseconds * computeBatchSlowdown(requests + 1),
+      tokensPerEvent: engine.tokensPerEvent,
+    }
+  );
 }
 
 /**
--- a/packages/forwarding/src/endpoint_paces/endpoint_paces.test.ts
+++ b/packages/forwarding/src/endpoint_paces/endpoint_paces.test.ts
@@ -46,7 +46,7 @@
     sample('fast', 28);
     sample('slow', 68);
     const estimates = estimate('fast', 'slow', 'new');
-    const read = (id: string) => estimates.get(id) ?? Number.NaN;
+    const read = (id: string) => estimates.get(id)?.milliseconds ?? Number.NaN;
     assert.ok(read('fast') < 36, `${read('fast')}`);
     assert.ok(read('slow') > 60, `${read('slow')}`);
     assert.equal(read('new'), 48);
@@ -57,8 +57,11 @@
     const known = report({fast: 28, slow: 68});
     ['x', 'y', 'z'].forEach(gateway => paces.setReports(gateway, known));
     const estimates = estimate('fast', 'slow');
-    const slow = estimates.get('slow') ?? 0;
-    assert.ok(slow > 1.7 * (estimates.get('fast') ?? 0), `${slow}`);
+    const slow = estimates.get('slow')?.milliseconds ?? 0;
+    assert.ok(
+      slow > 1.7 * (estimates.get('fast')?.milliseconds ?? 0),
+      `${slow}`,
+    );
   });
 
   it('forgets the reports of a gateway that is gone', () => {
@@ -81,7 +84,9 @@
     sample('a', 30);
     sample('b', 30);
     paces.setReports('x', report({c: 29_000}));
-    assert.ok((estimate('a', 'b', 'c', 'd').get('d') ?? 0) <= 100);
+    assert.ok(
+      (estimate('a', 'b', 'c', 'd').get('d')?.milliseconds ?? 0) <= 100,
+    );
   });
 
   it('reports own recent estimates only, the newest first', () => {
--- a/packages/forwarding/src/endpoint_paces/endpoint_paces.ts
+++ b/packages/forwarding/src/endpoint_paces/endpoint_paces.ts
@@ -31,6 +31,14 @@
   readonly eventMicroseconds?: number;
 }
 
+/** Estimated pace of an endpoint. */
+export interface EndpointPace {
+  /** Time between two events, or of a call, without load. */
+  readonly milliseconds: number;
+  /** The same relative to the mean of its service. */
+  readonly ratio: number;
+}
+
 /** Samples of one endpoint. */
 interface TrackedPace {
   readonly estimator: PaceEstimator;
@@ -41,7 +49,7 @@
 /** Estimates of the endpoints of one service. */
 interface ServiceEstimates {
   readonly computedAt: number;
-  readonly milliseconds: ReadonlyMap<string, number>;
+  readonly paces: ReadonlyMap<string, EndpointPace>;
 }
 
 /**
@@ -123,41 +131,41 @@
    *
    * @param service - Name of the service
    * @param endpointIds - Endpoints of the service
-   * @returns Milliseconds between two events, or of a call, without load, by
-   *   endpoint ID; empty if none of the endpoints states its pace
+   * @returns Estimates by endpoint ID; empty if none of the endpoints states its
+   *   pace
    */
   estimateAll(
     service: string,
     endpointIds: readonly string[],
-  ): ReadonlyMap<string, number> {
+  ): ReadonlyMap<string, EndpointPace> {
     const now = this.options.now();
     const known = this.estimatesByService.get(service);
     if (
       known !== undefined &&
       now - known.computedAt < ESTIMATES_LIFETIME_MILLISECONDS &&
-      endpointIds.every(id => known.milliseconds.has(id))
+      endpointIds.every(id => known.paces.has(id))
     ) {
-      return known.milliseconds;
+      return known.paces;
     }
-    const milliseconds = this.computeEstimates(endpointIds);
-    if (milliseconds.size > 0) {
-      this.estimatesByService.set(service, {computedAt: now, milliseconds});
+    const paces = this.computeEstimates(endpointIds);
+    if (paces.size > 0) {
+      this.estimatesByService.set(service, {computedAt: now, paces});
     } else {
       this.estimatesByService.delete(service);
     }
-    return milliseconds;
+    return paces;
   }
 
   private computeEstimates(
     endpointIds: readonly string[],
-  ): ReadonlyMap<string, number> {
+  ): ReadonlyMap<string, EndpointPace> {
     const reports = new Map(
       endpointIds.map(id => [id, this.listReports(id)] as const),
     );
     const isStated = endpointIds.some(
       id => this.tracked.has(id) || (reports.get(id)?.length ?? 0) > 0,
     );
-    const estimates = new Map<string, number>();
+    const estimates = new Map<string, EndpointPace>();
     if (!isStated) {
       return estimates;
     }
@@ -165,9 +173,10 @@
     for (const [id, reportedMilliseconds] of reports) {
       const context = {reportedMilliseconds, meanMilliseconds};
       const estimator = this.tracked.get(id)?.estimator;
-      const estimate = (estimator ?? this.unsampled).estimate(context);
-      if (estimate !== undefined) {
-        estimates.set(id, estimate);
+      const milliseconds = (estimator ?? this.unsampled).estimate(context);
+      if (milliseconds !== undefined && meanMilliseconds !== undefined) {
+        const ratio = milliseconds / meanMilliseconds;
+        estimates.set(id, {milliseconds, ratio});
       }
     }
     return estimates;
