Log and measure the pace of endpoints, and test it in virtual time

Cause: operators could not see which endpoints a gateway takes for slow, new or limited, and the choice by pace was tested by parts only.

Change: log line endpoint_pace when the class of an endpoint changes, with samples, reports and age; gauges for pace, limit and open requests of each endpoint, which end when it leaves.

--- a/packages/daemon/src/machine/create_forwarding_context.ts
+++ b/packages/daemon/src/machine/create_forwarding_context.ts
@@ -108,6 +108,7 @@
       findDraining: service => endpoints.findDraining(service),
       roundTripMilliseconds: entry =>
         computeRoundTripMilliseconds(settings, entry),
+      logger,
     }),
     retryBudgets: new RetryBudgets({
       ratio: settings.bounds.retryRatio,
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -151,6 +151,7 @@
     configurationVersion: () => state.storeState.configuration?.version ?? 0,
     storeAgeMilliseconds: () => state.stalenessTracker.ageMilliseconds(),
     readyEndpoints: () => components.endpoints.readyCount,
+    listPaces: () => components.loads.listPaces(),
   });
   const {logger} = telemetry;
   const components = createForwardingContext(settings, telemetry, state, {
--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
@@ -11,10 +11,14 @@
   type EndpointState,
   type ServedRequest,
 } from '@briarpin/scheduling';
+import type {EventLogger, PaceMetric} from '@briarpin/telemetry';
 
 import {computeCopyMilliseconds} from '../compute_copy_milliseconds/compute_copy_milliseconds.js';
+import {computeQueueFactor} from '../compute_queue_factor/compute_queue_factor.js';
+import {predictDecoding} from '../predict_decoding/predict_decoding.js';
 import {createShareFunction} from '../create_share_function/create_share_function.js';
 import type {ReportedLoad} from '../dialect/dialect.js';
+import {PaceMonitor} from '../pace_monitor/pace_monitor.js';
 import {EndpointAverages} from '../endpoint_averages/endpoint_averages.js';
 import {EndpointRamps} from '../endpoint_ramps/endpoint_ramps.js';
 import {
@@ -38,6 +42,8 @@
   readonly findDraining: (service: string) => readonly EndpointEntry[];
   /** Returns the network round-trip time to an endpoint, in milliseconds. */
   readonly roundTripMilliseconds: (entry: EndpointEntry) => number;
+  /** Logs changes of the pace of endpoints; absent in simulations. */
+  readonly logger?: Pick<EventLogger, 'info'>;
 }
 
 /** An endpoint with its current state, as input to endpoint selection. */
@@ -55,6 +61,7 @@
   private readonly averages: EndpointAverages;
   private readonly paces: EndpointPaces;
   private readonly ramps: EndpointRamps;
+  private readonly monitor: PaceMonitor;
 
   /**
    * @param options - Clock and network round-trip times
@@ -63,6 +70,7 @@
     this.averages = new EndpointAverages(options);
     this.paces = new EndpointPaces(options);
     this.ramps = new EndpointRamps(options);
+    this.monitor = new PaceMonitor(options.logger);
   }
 
   /** Unfinished work of this gateway by endpoint ID. */
@@ -161,6 +169,7 @@
     this.averages.remove(endpointId);
     this.paces.remove(endpointId);
     this.ramps.remove(endpointId);
+    this.monitor.remove(endpointId);
   }
 
   /** Limits the open requests of an endpoint that is new or has returned. */
@@ -187,6 +196,14 @@
     }
   }
 
+  /** Returns the pace, limit and open requests of endpoints, for metrics. */
+  listPaces(): PaceMetric[] {
+    return this.monitor.list().map(pace => ({
+      ...pace,
+      openRequests: this.countOpenRequests(pace.endpoint),
+    }));
+  }
+
   /** Returns own estimates of the pace in microseconds, by endpoint ID. */
   createPaceReport(): ReadonlyMap<string, number> {
     return this.paces.createReport();
@@ -211,12 +228,17 @@
       service?.name ?? '',
       entries.map(({id}) => id),
     );
-    return entries.map(entry =>
-      this.computeCandidate(entry, engine, {
+    return entries.map(entry => {
+      const pace = paces.get(entry.id);
+      const candidate = this.computeCandidate(entry, engine, {
         evacuationShare: computeShare(entry),
-        pace: paces.get(entry.id),
-      }),
-    );
+        pace,
+      });
+      if (pace !== undefined) {
+        this.monitor.record(candidate, pace);
+      }
+      return candidate;
+    });
   }
 
   private computeCandidate(
@@ -270,27 +292,3 @@
 function countAnswered({requests, tokens, promptTokens}: OpenWork): number {
   return tokens > 0 ? Math.floor(requests * (1 - promptTokens / tokens)) : 0;
 }
-
-/** Predicts the time between events once an engine also runs the request. */
-function predictDecoding(
-  engine: EngineProfile | undefined,
-  pace: EndpointPace,
-  requests: number,
-): EndpointState['decoding'] {
-  return (
-    engine && {
-      eventMilliseconds: pace.milliseconds * computeBatchSlowdown(requests + 1),
-      tokensPerEvent: engine.tokensPerEvent,
-    }
-  );
-}
-
-/**
- * Computes how many times longer a call to a plain service takes than without a
- * queue.
- */
-function computeQueueFactor(otherRequests: number, slots: number): number {
-  const slotCount = Math.max(1, slots);
-  const queued = Math.max(0, otherRequests + 1 - slotCount);
-  return 1 + queued / slotCount;
-}
--- a/packages/forwarding/src/endpoint_paces/endpoint_paces.ts
+++ b/packages/forwarding/src/endpoint_paces/endpoint_paces.ts
@@ -37,6 +37,12 @@
   readonly milliseconds: number;
   /** The same relative to the mean of its service. */
   readonly ratio: number;
+  /** Number of intervals with own samples. */
+  readonly samples: number;
+  /** Number of gateways that report an estimate. */
+  readonly reports: number;
+  /** Age of the newest own sample; infinite without one. */
+  readonly ageMilliseconds: number;
 }
 
 /** Samples of one endpoint. */
@@ -172,11 +178,17 @@
     const meanMilliseconds = this.computeMean(reports);
     for (const [id, reportedMilliseconds] of reports) {
       const context = {reportedMilliseconds, meanMilliseconds};
-      const estimator = this.tracked.get(id)?.estimator;
-      const milliseconds = (estimator ?? this.unsampled).estimate(context);
+      const estimator = this.tracked.get(id)?.estimator ?? this.unsampled;
+      const milliseconds = estimator.estimate(context);
       if (milliseconds !== undefined && meanMilliseconds !== undefined) {
         const ratio = milliseconds / meanMilliseconds;
-        estimates.set(id, {milliseconds, ratio});
+        estimates.set(id, {
+          milliseconds,
+          ratio,
+          samples: estimator.intervalCount,
+          reports: reportedMilliseconds.length,
+          ageMilliseconds: estimator.ageMilliseconds,
+        });
       }
     }
     return estimates;
--- a/packages/stand_ins/src/pace/paced_engine.ts
+++ b/packages/stand_ins/src/pace/paced_engine.ts
@@ -51,6 +51,8 @@
   /** Whether it takes requests. */
   isUp = true;
   preemptions = 0;
+  /** Share of the requests that it refuses, while its health is good. */
+  failureShare = 0;
   private waiting: PacedRun[] = [];
   private running: PacedRun[] = [];
   private stepEndsAt = 0;
--- a/packages/stand_ins/src/pace/simulate_paced_fleet.ts
+++ b/packages/stand_ins/src/pace/simulate_paced_fleet.ts
@@ -6,48 +6,24 @@
   chooseEngine,
   countEngineWork,
   EndpointLoads,
-  type Exchange,
   type ForwardingContext,
-  type ReportedWork,
 } from '@briarpin/forwarding';
 
 import {createRandom, type Random} from '../bench/seeded_random.js';
-import {PacedEngine, TOKENS_PER_EVENT} from './paced_engine.js';
+import {PacedEngine} from './paced_engine.js';
+import {
+  createExchange,
+  createReport,
+  MEMORY_TOKENS,
+  SLOTS,
+  summarise,
+  type PacedLoad,
+  type PacedResult,
+} from './paced_request.js';
 
 /** Interval of the reports between gateways; each start is reported as well. */
 const REPORT_INTERVAL_MILLISECONDS = 250;
 
-/** Most requests with reported estimates but without own work. */
-const MAXIMUM_IDLE_ESTIMATES = 12;
-
-/** Target of the time between two events. */
-const TARGET_GAP_MILLISECONDS = 180;
-
-const MEMORY_TOKENS = 26_888;
-const SLOTS = 24;
-
-/** Requests of one kind. */
-export interface PacedLoad {
-  readonly kind: 'long' | 'short';
-  readonly perSecond: number;
-  readonly promptTokens: number;
-  readonly outputTokens: number;
-  readonly targetLatencyMilliseconds: number;
-}
-
-/** How a request ended. */
-export interface PacedResult {
-  readonly kind: PacedLoad['kind'];
-  readonly engine: string;
-  readonly gateway: number;
-  readonly sentAt: number;
-  readonly outcome: 'done' | 'interrupted';
-  readonly firstEventMilliseconds: number;
-  readonly milliseconds: number;
-  readonly longestGapMilliseconds: number;
-  readonly isOnTime: boolean;
-}
-
 /** Options of {@link PacedFleet}. */
 export interface PacedFleetOptions {
   readonly seed: number;
@@ -214,6 +190,21 @@
     });
     const sentAt = this.now;
     const events: number[] = [];
+    const record = (outcome: PacedResult['outcome']) => {
+      work.release();
+      const timing = {sentAt, endedAt: this.now, events};
+      this.results.push({
+        gateway: gatewayIndex,
+        engine: entry.id,
+        ...summarise(load, timing, outcome),
+      });
+    };
+    if (this.random() < engine.failureShare) {
+      context.loads.recordOutcome(entry.id, true);
+      context.loads.recordFault(entry);
+      record('refused');
+      return;
+    }
     engine.submit({
       promptTokens: load.promptTokens,
       outputTokens: load.outputTokens,
@@ -226,15 +217,7 @@
         events.push(this.now);
         work.recordEvent();
       },
-      onEnd: outcome => {
-        work.release();
-        const timing = {sentAt, endedAt: this.now, events};
-        const gatewayAndEngine = {gateway: gatewayIndex, engine: entry.id};
-        this.results.push({
-          ...gatewayAndEngine,
-          ...summarise(load, timing, outcome),
-        });
-      },
+      onEnd: record,
     });
   }
 
@@ -245,65 +228,3 @@
       : load;
   }
 }
-
-function createExchange(load: PacedLoad): Exchange {
-  return {
-    metadata: {
-      promptTokens: load.promptTokens,
-      maximumOutputTokens: 0,
-      estimatedOutputTokens: load.outputTokens,
-      promptParts: [],
-    },
-    route: {
-      targetGapMilliseconds: TARGET_GAP_MILLISECONDS,
-      targetLatencyMilliseconds: load.targetLatencyMilliseconds,
-    },
-    service: {
-      name: 'text',
-      engine: {
-        slots: SLOTS,
-        memoryTokens: MEMORY_TOKENS,
-        tokensPerEvent: TOKENS_PER_EVENT,
-        supportsMoves: false,
-      },
-    },
-  } as unknown as Exchange;
-}
-
-function createReport(loads: EndpointLoads): Map<string, ReportedWork> {
-  const paces = loads.createPaceReport();
-  const report = new Map<string, ReportedWork>();
-  for (const [id, work] of loads.localWork) {
-    report.set(id, {...work, eventMicroseconds: paces.get(id) ?? 0});
-  }
-  const idle = [...paces].filter(([id]) => !report.has(id));
-  for (const [id, eventMicroseconds] of idle.slice(0, MAXIMUM_IDLE_ESTIMATES)) {
-    const none = {requests: 0, tokens: 0, promptTokens: 0};
-    report.set(id, {...none, eventMicroseconds});
-  }
-  return report;
-}
-
-function summarise(
-  load: PacedLoad,
-  timing: {sentAt: number; endedAt: number; events: readonly number[]},
-  outcome: PacedResult['outcome'],
-): Omit<PacedResult, 'engine' | 'gateway'> {
-  const {sentAt, endedAt, events} = timing;
-  const gaps = events.slice(1).map((at, index) => at - (events[index] ?? at));
-  const longestGapMilliseconds = Math.max(0, ...gaps);
-  const firstEventMilliseconds =
-    (events[0] ?? Number.POSITIVE_INFINITY) - sentAt;
-  return {
-    kind: load.kind,
-    sentAt,
-    outcome,
-    firstEventMilliseconds,
-    milliseconds: endedAt - sentAt,
-    longestGapMilliseconds,
-    isOnTime:
-      outcome === 'done' &&
-      longestGapMilliseconds <= TARGET_GAP_MILLISECONDS &&
-      firstEventMilliseconds <= load.targetLatencyMilliseconds,
-  };
-}
--- a/packages/telemetry/src/gateway_metrics/gateway_metrics.test.ts
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.test.ts
@@ -38,4 +38,31 @@
       /briarpin_latency_milliseconds\{measure="first_token_milliseconds",organisation="quilters",class="r-1",quantile="0.5"\} 40/,
     );
   });
+
+  it('renders the pace of endpoints until they leave', async () => {
+    const pace = {
+      endpoint: 'e-1',
+      paceMilliseconds: 27.5,
+      concurrencyLimit: 4,
+      openRequests: 3,
+    };
+    const paces = [pace];
+    const metrics = createGatewayMetrics(new HistogramRegistry(8), {
+      openRequests: () => 0,
+      configurationVersion: () => 0,
+      storeAgeMilliseconds: () => 0,
+      readyEndpoints: () => 0,
+      listPaces: () => paces,
+    });
+    const text = await metrics.render();
+    for (const line of [
+      'briarpin_endpoint_pace_milliseconds{endpoint="e-1"} 27.5',
+      'briarpin_endpoint_concurrency_limit{endpoint="e-1"} 4',
+      'briarpin_endpoint_open_requests{endpoint="e-1"} 3',
+    ]) {
+      assert.ok(text.includes(line), line);
+    }
+    paces.pop();
+    assert.doesNotMatch(await metrics.render(), /e-1/);
+  });
 });
--- a/packages/telemetry/src/gateway_metrics/gateway_metrics.ts
+++ b/packages/telemetry/src/gateway_metrics/gateway_metrics.ts
@@ -18,12 +18,25 @@
   readonly contentType: string;
 }
 
+/** Pace of an endpoint. */
+export interface PaceMetric {
+  readonly endpoint: string;
+  /** Time between two events, or of a call, without load. */
+  readonly paceMilliseconds: number;
+  /** Open requests that the endpoint takes now. */
+  readonly concurrencyLimit: number;
+  /** Open requests of all gateways. */
+  readonly openRequests: number;
+}
+
 /** Values that are read when metrics are rendered. */
 export interface GatewayGauges {
   readonly openRequests: () => number;
   readonly configurationVersion: () => number;
   readonly storeAgeMilliseconds: () => number;
   readonly readyEndpoints: () => number;
+  /** Lists the endpoints that state their pace; absent if none can. */
+  readonly listPaces?: () => readonly PaceMetric[];
 }
 
 /**
@@ -77,6 +90,7 @@
     read: gauges.readyEndpoints,
   });
   addLatencies(histograms, registers);
+  addPaces(gauges.listPaces ?? (() => []), registers);
   return {
     countRequest: (outcome, status) =>
       requests.inc({outcome, status: String(status)}),
@@ -124,3 +138,43 @@
     },
   });
 }
+
+/** Adds the gauges of endpoints; those of an endpoint end when it leaves. */
+function addPaces(
+  listPaces: () => readonly PaceMetric[],
+  registers: Registry[],
+): void {
+  const add = (
+    name: string,
+    help: string,
+    read: (pace: PaceMetric) => number,
+  ) => {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
+      labelNames: ['endpoint'],
+      registers,
+      collect: () => {
+        gauge.reset();
+        for (const pace of listPaces()) {
+          gauge.set({endpoint: pace.endpoint}, read(pace));
+        }
+      },
+    });
+  };
+  add(
+    'briarpin_endpoint_pace_milliseconds',
+    'Time between two events, or of a call, without load.',
+    ({paceMilliseconds}) => paceMilliseconds,
+  );
+  add(
+    'briarpin_endpoint_concurrency_limit',
+    'Open requests that an endpoint takes now.',
+    ({concurrencyLimit}) => concurrencyLimit,
+  );
+  add(
+    'briarpin_endpoint_open_requests',
+    'Open requests of all gateways at an endpoint.',
+    ({openRequests}) => openRequests,
+  );
+}
