--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -164,6 +164,7 @@
         }
       : undefined,
     heldBytes: () => components.memory.heldBytes,
+    listPaces: () => components.loads.listPaces(),
   });
   const {logger} = telemetry;
   const components = createForwardingContext(settings, telemetry, state, {
@@ -192,6 +193,9 @@
       if (source === 'peer') {
         components.coldEndpoints.recordEntry(entry, false);
       }
+      if (source === 'peer' || state.storeState.hasEndpoints) {
+        components.loads.startRamp(entry);
+      }
       // The first snapshot contains no endpoints that are new to the others.
       if (source === 'store' && state.storeState.hasEndpoints) {
         state.arrivals.add(entry);
--- a/packages/forwarding/src/count_engine_work/count_engine_work.ts
+++ b/packages/forwarding/src/count_engine_work/count_engine_work.ts
@@ -18,6 +18,11 @@
 export interface CountedWork {
   /** Called for each event; the first event marks the end of the prefill. */
   readonly recordEvent: () => void;
+  /**
+   * Called when reading pauses: the time to the next event then shows nothing of
+   * the engine's pace.
+   */
+  readonly recordPause: () => void;
   readonly release: () => void;
 }
 
@@ -59,9 +64,11 @@
   if (checkpointHolder !== undefined) {
     loads.add(checkpointHolder.id, {tokens});
   }
+  const openRequests = loads.countOpenRequests(endpoint.id);
   context.onWorkStarted();
   const received = createReceivedWork(exchange, context, promptTokens);
   let isPrefilled = false;
+  let eventAt: number | undefined;
   const completePrefill = () => {
     if (!isPrefilled) {
       isPrefilled = true;
@@ -70,15 +77,23 @@
   };
   return {
     recordEvent: () => {
+      const now = clock.now();
       if (!isPrefilled && promptTokens > 0) {
-        loads.recordFirstEvent(
-          endpoint.id,
-          prefillTokens,
-          clock.now() - sentAt,
-        );
+        const milliseconds = now - sentAt;
+        const isInTime =
+          milliseconds <= exchange.route.targetLatencyMilliseconds;
+        loads.recordFirstEvent(endpoint.id, prefillTokens, milliseconds);
+        loads.recordServed(endpoint, {openRequests, isInTime});
       }
       completePrefill();
       received.recordEvent();
+      if (eventAt !== undefined) {
+        loads.recordEvent(endpoint.id, now - eventAt);
+      }
+      eventAt = now;
+    },
+    recordPause: () => {
+      eventAt = undefined;
     },
     release: () => {
       completePrefill();
--- a/packages/forwarding/src/create_admission_request/create_admission_request.ts
+++ b/packages/forwarding/src/create_admission_request/create_admission_request.ts
@@ -44,6 +44,7 @@
     }),
     promptTokens,
     outputTokens,
+    targetGapMilliseconds: route.targetGapMilliseconds,
     prefillMilliseconds,
     runMilliseconds: Math.max(
       prefillMilliseconds,
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -25,6 +25,7 @@
 import type {AttemptFailure} from '../open_result/open_result.js';
 import {permitRetry} from '../permit_retry/permit_retry.js';
 import {recordCallOutcome} from '../record_call_outcome/record_call_outcome.js';
+import {showsFault} from '../shows_fault/shows_fault.js';
 
 /**
  * `Retry-After` of a call that no endpoint can accept: a few times the service
@@ -163,6 +164,7 @@
   const {loads, clock} = context;
   const sentAt = clock.now();
   loads.add(entry.id, {requests: 1});
+  const openRequests = loads.countOpenRequests(entry.id);
   try {
     const attempt = await context.client.send(
       createAttempt(exchange, context, entry),
@@ -174,16 +176,26 @@
         reason: result.kind === 'whole' ? undefined : result.reason,
       });
     }
+    if (attempt.kind === 'answered') {
+      loads.recordLoad(entry.id, attempt.metadata.load);
+    }
     const failed = !isSuccess(result);
     const milliseconds = clock.now() - sentAt;
     if (!failed && context.queuesForEngines()) {
       context.engineQueue.recordRun(exchange.route.name, 0, milliseconds);
     }
-    recordCallOutcome(loads, entry.id, {
-      failed,
-      wasPaused: result.kind === 'unknown' && result.wasPaused === true,
-      milliseconds,
-    });
+    const wasPaused = result.kind === 'unknown' && result.wasPaused === true;
+    recordCallOutcome(loads, entry, {failed, wasPaused, milliseconds});
+    if (!failed) {
+      const isInTime = milliseconds <= exchange.route.targetLatencyMilliseconds;
+      loads.recordServed(entry, {openRequests, isInTime});
+    } else if (
+      result.kind !== 'whole' &&
+      !wasPaused &&
+      showsFault(exchange, context)
+    ) {
+      loads.recordFault(entry);
+    }
     return result;
   } finally {
     loads.remove(entry.id, {requests: 1});
--- a/packages/forwarding/src/record_call_outcome/record_call_outcome.test.ts
+++ b/packages/forwarding/src/record_call_outcome/record_call_outcome.test.ts
@@ -12,18 +12,19 @@
 function record(outcome: Omit<CallOutcome, 'milliseconds'>): unknown[] {
   const recorded: unknown[] = [];
   const recordOutcome = (...values: unknown[]) => void recorded.push(...values);
-  recordCallOutcome({recordOutcome}, 'desk-0', {...outcome, milliseconds: 20});
+  const endpoint = {id: 'desk-0', slots: 6};
+  recordCallOutcome({recordOutcome}, endpoint, {...outcome, milliseconds: 20});
   return recorded;
 }
 
 describe('recordCallOutcome', () => {
   it('records a success with its time', () => {
-    const expected = ['desk-0', false, 20];
+    const expected = ['desk-0', false, 20, 6];
     assert.deepEqual(record({failed: false, wasPaused: false}), expected);
   });
 
   it('records a failure without a time', () => {
-    const expected = ['desk-0', true, undefined];
+    const expected = ['desk-0', true, undefined, 6];
     assert.deepEqual(record({failed: true, wasPaused: false}), expected);
   });
 
--- a/packages/forwarding/src/record_call_outcome/record_call_outcome.ts
+++ b/packages/forwarding/src/record_call_outcome/record_call_outcome.ts
@@ -1,6 +1,8 @@
 /**
  * Records the outcome of a call in the averages of its endpoint.
  */
+import type {EndpointEntry} from '@briarpin/coordination';
+
 import type {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
 
 /** Outcome of one attempt of a call. */
@@ -18,16 +20,16 @@
  * endpoint may have given up on a response that this gateway did not read.
  *
  * @param loads - Averages of the endpoints
- * @param endpointId - Endpoint that received the call
+ * @param endpoint - Endpoint that received the call
  * @param outcome - How the attempt ended
  */
 export function recordCallOutcome(
   loads: Pick<EndpointLoads, 'recordOutcome'>,
-  endpointId: string,
+  {id, slots}: Pick<EndpointEntry, 'id' | 'slots'>,
   {failed, wasPaused, milliseconds}: CallOutcome,
 ): void {
   if (failed && wasPaused) {
     return;
   }
-  loads.recordOutcome(endpointId, failed, failed ? undefined : milliseconds);
+  loads.recordOutcome(id, failed, failed ? undefined : milliseconds, slots);
 }
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -40,6 +40,7 @@
 } from '../find_checkpoint/find_checkpoint.js';
 import {explainRejection} from '../explain_rejection/explain_rejection.js';
 import {permitRetry} from '../permit_retry/permit_retry.js';
+import {showsFault} from '../shows_fault/shows_fault.js';
 import {pinStreamOrigin} from '../pin_stream_origin/pin_stream_origin.js';
 import type {StoppedRun} from '../run_evacuation/run_evacuation.js';
 import {RunMover} from '../run_mover/run_mover.js';
@@ -388,6 +389,9 @@
     if (!isStreamResponse(result)) {
       countedWork.release();
       context.loads.recordOutcome(endpoint.id, true);
+      if (result.kind !== 'answered' && showsFault(exchange, context)) {
+        context.loads.recordFault(endpoint);
+      }
       const failure = await readFailure(result, exchange.memory);
       this.mayHaveRun ||= failure.kind !== 'failed' || failure.mayHaveRun;
       const reason =
@@ -407,6 +411,7 @@
       logFailedAttempt(exchange, context, endpoint.id, NOT_EVENTS.reason);
       return NOT_EVENTS;
     }
+    context.loads.recordLoad(endpoint.id, result.metadata.load);
     this.writer.recordResponse(result.response);
     const stream: EndpointStream = new EndpointStream({
       endpoint,
@@ -426,7 +431,11 @@
           stream.stop('the endpoint came back with other software');
           return undefined;
         }
-        return this.writer.write(event);
+        const drained = this.writer.write(event);
+        if (drained !== undefined) {
+          countedWork.recordPause();
+        }
+        return drained;
       },
     });
     return {kind: 'leg', stream};
--- a/packages/scheduling/src/admission_lane/admission_lane.ts
+++ b/packages/scheduling/src/admission_lane/admission_lane.ts
@@ -34,6 +34,8 @@
   readonly promptTokens: number;
   /** Expected output. */
   readonly outputTokens: number;
+  /** Target of the time between two events, in milliseconds. */
+  readonly targetGapMilliseconds: number;
   /** Expected time to read the prompt. */
   readonly prefillMilliseconds: number;
   /** Expected time from its start to its end. */
--- a/packages/scheduling/src/place_requests/place_requests.ts
+++ b/packages/scheduling/src/place_requests/place_requests.ts
@@ -100,7 +100,14 @@
     usesReserves,
     shortestTargetMilliseconds,
   });
-  const endpoint = selectEndpoint(room, {random, neededTokens: tokens});
+  const endpoint = selectEndpoint(room, {
+    random,
+    neededTokens: tokens,
+    output: {
+      tokens: request.outputTokens,
+      targetGapMilliseconds: request.targetGapMilliseconds,
+    },
+  });
   return endpoint && {request, endpoint};
 }
 
