--- a/packages/scheduling/src/engine_admission/create_requests.ts
+++ b/packages/scheduling/src/engine_admission/create_requests.ts
@@ -28,6 +28,7 @@
     runMilliseconds: 8_000,
     arrivedAt: 0,
     targetLatencyMilliseconds: 4_000,
+    targetGapMilliseconds: 180,
     ...overrides,
   };
   const {arrivedAt, promptTokens} = request;
