Let long outputs wait longer for fast engines while these have room

Change: the cost of a late event is 800 ms while the engines have free memory, and falls to the former 400 ms once slow engines are needed as well. 1,500 ms made an estimate of a slow engine leave its bounds in the test of the paced fleet (fewer samples), so it was left out.

Tests of the choice and the paced fleet pass.

--- a/packages/scheduling/src/select_endpoint/select_endpoint.ts
+++ b/packages/scheduling/src/select_endpoint/select_endpoint.ts
@@ -136,8 +136,15 @@
 /** Share of the target gap above which some events are expected to be late. */
 const GAP_PRESSURE_SHARE = 0.8;
 
-/** Cost per target gap above the pressure share, if a slow phase is certain. */
-const LATE_EVENT_COST_MILLISECONDS = 400;
+/**
+ * Cost per target gap above the pressure share, if a slow phase is certain: a
+ * stream with a late event counts as late as a whole. While fast engines have
+ * room, that is worth a longer wait for one of them.
+ */
+const LATE_EVENT_COST_MILLISECONDS = 800;
+
+/** The same cost once slow engines are needed as well. */
+const LATE_EVENT_MINIMUM_COST_MILLISECONDS = 400;
 
 /** Largest excess over the target gap that adds to the cost. */
 const MAXIMUM_GAP_EXCESS = 2;
@@ -167,13 +174,13 @@
   candidates: readonly T[],
   options: SelectEndpointOptions,
 ): T | undefined {
-  const decodeTimeCost = computeDecodeTimeCost(candidates);
+  const freeShare = computeFreeShare(candidates);
   let best: T | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
     const cost =
       estimateCost(candidate, options.neededTokens) +
-      estimateDecodeCost(candidate, options.output, decodeTimeCost) +
+      estimateDecodeCost(candidate, options.output, freeShare) +
       estimateLimitCost(candidate) +
       options.random() * TIE_BREAK_JITTER_MILLISECONDS;
     if (cost < bestCost) {
@@ -202,8 +209,11 @@
   );
 }
 
-/** Computes the cost per millisecond of decode time, from the free memory. */
-function computeDecodeTimeCost(candidates: readonly EndpointState[]): number {
+/**
+ * Computes how free the engines are: 1 while fast ones have room for all long
+ * outputs, 0 once slow ones are needed as well.
+ */
+function computeFreeShare(candidates: readonly EndpointState[]): number {
   let usedTokens = 0;
   let memoryTokens = 0;
   for (const candidate of candidates) {
@@ -212,13 +222,13 @@
   }
   const free = DECODE_COST_END_SHARE - usedTokens / memoryTokens;
   const range = DECODE_COST_END_SHARE - DECODE_COST_FULL_SHARE;
-  return DECODE_TIME_COST * Math.min(1, Math.max(0, free / range));
+  return Math.min(1, Math.max(0, free / range));
 }
 
 function estimateDecodeCost(
   {decoding}: EndpointState,
   output: ExpectedOutput | undefined,
-  decodeTimeCost: number,
+  freeShare: number,
 ): number {
   if (decoding === undefined || output === undefined) {
     return 0;
@@ -229,11 +239,15 @@
   const excess =
     slowGapMilliseconds / output.targetGapMilliseconds - GAP_PRESSURE_SHARE;
   const slowPhaseProbability = 1 - (1 - SLOW_PHASE_SHARE) ** gaps;
+  const lateEventCost =
+    LATE_EVENT_MINIMUM_COST_MILLISECONDS +
+    (LATE_EVENT_COST_MILLISECONDS - LATE_EVENT_MINIMUM_COST_MILLISECONDS) *
+      freeShare;
   return (
-    decodeMilliseconds * decodeTimeCost +
+    decodeMilliseconds * DECODE_TIME_COST * freeShare +
     Math.min(MAXIMUM_GAP_EXCESS, Math.max(0, excess)) *
       slowPhaseProbability *
-      LATE_EVENT_COST_MILLISECONDS
+      lateEventCost
   );
 }
 
