Leave out the source of a stopped run in an evacuated zone

listMemoryHolders listed the source of a stopped run also in an evacuated zone, so that an engine there received a moved run after EvacuateMs. The source now passes the same filter as the target. Where the last copy of a run is refused and its source may not continue it, the run resumes from the earlier copy at the target instead of being left without an engine.

--- a/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
+++ b/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
@@ -95,8 +95,8 @@
 
   /**
    * Lists the engines at which a stopped run may continue: the target before the
-   * source, but those that want no requests last. A run continues at its source
-   * also in an evacuated zone, since it is in progress there.
+   * source, but those that want no requests last. A stopped run is a new request
+   * to its source too, so that no engine in an evacuated zone is listed.
    *
    * @param request - Request of the run
    * @param source - Engine that ran it
@@ -109,19 +109,19 @@
     moved: StoppedRun,
   ): EligibleEndpoints {
     const {endpoints, limits} = this.options;
-    const isAllowed = this.createRegionFilter(request);
+    const isPermitted = this.createFilter(request);
     const targets =
       moved.kind === 'stopped_at_source' ||
-      endpoints.hasOtherSoftware(moved.target) ||
-      this.isEvacuated(moved.target)
+      endpoints.hasOtherSoftware(moved.target)
         ? []
         : [moved.target];
-    const holders =
-      moved.kind === 'source_lost' ? targets : [...targets, source];
+    const isAtSource =
+      moved.kind === 'stopped' || moved.kind === 'stopped_at_source';
+    const holders = isAtSource ? [...targets, source] : targets;
     const getPause = ({id}: EndpointEntry) =>
       limits.computePauseMilliseconds(id);
     return holders
-      .filter((entry): entry is EligibleEndpoint => isAllowed(entry))
+      .filter((entry): entry is EligibleEndpoint => isPermitted(entry))
       .sort((left, right) => getPause(left) - getPause(right));
   }
 
@@ -151,15 +151,13 @@
     return ready.length > 0 && !ready.some(this.createFilter(request));
   }
 
-  private isEvacuated({availabilityZone}: EndpointEntry): boolean {
-    return this.options.evacuatedZones.has(availabilityZone);
-  }
-
   private createFilter(
     request: EligibilityRequest,
   ): (entry: EndpointEntry) => boolean {
+    const {evacuatedZones} = this.options;
     const isAllowed = this.createRegionFilter(request);
-    return entry => isAllowed(entry) && !this.isEvacuated(entry);
+    return entry =>
+      isAllowed(entry) && !evacuatedZones.has(entry.availabilityZone);
   }
 
   private createRegionFilter(
--- a/packages/forwarding/src/run_evacuation/run_evacuation.test.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.test.ts
@@ -71,6 +71,7 @@
         return id === undefined ? undefined : createEntry(id);
       },
       mayCopyTo: () => true,
+      mayResumeAtSource: () => true,
       ...overrides,
     },
     {
@@ -163,6 +164,26 @@
     });
   });
 
+  // Guards against a stream that breaks although a copy of its run exists.
+  it('resumes from the earlier copy when the source is in an evacuated zone', async () => {
+    const {result, dropped} = await moveWithScript(
+      [
+        [COPIED, 210],
+        [{kind: 'no_room', handle: 'h-2'}, 5],
+      ],
+      {mayResumeAtSource: () => false},
+    );
+    assert.equal(result.kind, 'stopped_at_copy');
+    assert.ok(result.kind === 'stopped_at_copy');
+    assert.equal(result.target.id, 'near');
+    assert.deepEqual(result.memorySource, {
+      host: 'source',
+      port: 80,
+      handle: 'h-1',
+    });
+    assert.deepEqual(dropped, []);
+  });
+
   it('keeps the run when the first copy call fails without an answer', async () => {
     const unanswered: MoveOutcome = {
       kind: 'unknown',
--- a/packages/forwarding/src/run_evacuation/run_evacuation.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.ts
@@ -41,6 +41,8 @@
   ) => EndpointEntry | undefined;
   /** Returns whether a target that was chosen may still receive a copy. */
   readonly mayCopyTo: (target: EndpointEntry) => boolean;
+  /** Returns whether the run may resume at its source once it was stopped. */
+  readonly mayResumeAtSource: () => boolean;
 }
 
 /** A run that has ended at its source and must resume on another engine. */
@@ -60,6 +62,15 @@
       readonly target: EndpointEntry;
       readonly memorySource: MemorySource;
     }
+  /**
+   * The run was stopped, its last copy was refused, and it may not resume at its
+   * source; the target holds all but the newest tokens.
+   */
+  | {
+      readonly kind: 'stopped_at_copy';
+      readonly target: EndpointEntry;
+      readonly memorySource: MemorySource;
+    }
   /** The run was stopped, and only its source holds the memory. */
   | {
       readonly kind: 'stopped_at_source';
@@ -157,6 +168,10 @@
       }
       case 'no_room': {
         if (stop && outcome.handle !== undefined) {
+          if (copy !== undefined && !run.mayResumeAtSource()) {
+            const memorySource = createMemorySource(run, copy.handle);
+            return {kind: 'stopped_at_copy', target: copy.target, memorySource};
+          }
           const memorySource = createMemorySource(run, outcome.handle);
           return {kind: 'stopped_at_source', memorySource};
         }
--- a/packages/forwarding/src/run_mover/run_mover.ts
+++ b/packages/forwarding/src/run_mover/run_mover.ts
@@ -135,6 +135,7 @@
           return target;
         },
         mayCopyTo: target => context.eligibility.permits(exchange, target),
+        mayResumeAtSource: () => context.eligibility.permits(exchange, source),
       },
       context,
       () => {
@@ -185,7 +186,7 @@
     this.move = undefined;
     runTask('abandon_move', context.logger, async () => {
       const result = await move;
-      if (result.kind === 'stopped' || result.kind === 'source_lost') {
+      if (result.kind !== 'kept' && result.kind !== 'stopped_at_source') {
         const {target, memorySource} = result;
         dropCopy({target, handle: memorySource.handle}, context);
       }
