Start one request of a review at an endpoint with a rate limit

A review of the admission queue places several waiting requests before any of them is sent, and requests are counted against the rate of a cold endpoint and against stated rate limits only when they are sent. A cold endpoint could therefore receive all requests of a review instead of the share of the gateway.

--- a/packages/forwarding/src/endpoint_eligibility/eligibility_fixture.ts
+++ b/packages/forwarding/src/endpoint_eligibility/eligibility_fixture.ts
@@ -38,12 +38,17 @@
     },
     limits: {
       hasCapacity: () => true,
+      isLimited: () => false,
       computeWaitMilliseconds: () => 0,
       computePauseMilliseconds: () => 0,
     },
     configuration: () => undefined,
     evacuatedZones: new Set(),
-    coldEndpoints: {hasCapacity: () => true, computeWaitMilliseconds: () => 0},
+    coldEndpoints: {
+      hasCapacity: () => true,
+      isCold: () => false,
+      computeWaitMilliseconds: () => 0,
+    },
     regionOf: zone => zone.split('-')[0],
     ...options,
   });
--- a/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.test.ts
+++ b/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.test.ts
@@ -95,6 +95,7 @@
         entries: ENTRIES,
         coldEndpoints: {
           hasCapacity: ({id}) => id !== 'e',
+          isCold: ({id}) => id === 'e',
           computeWaitMilliseconds: () => 0,
         },
       });
@@ -201,6 +202,7 @@
         entries: ENTRIES,
         coldEndpoints: {
           hasCapacity: () => false,
+          isCold: () => true,
           computeWaitMilliseconds: ({id}) => waits.get(id) ?? 0,
         },
       });
--- a/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
+++ b/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
@@ -36,7 +36,10 @@
   readonly endpoints: Pick<EndpointRegistry, 'findReady' | 'hasOtherSoftware'>;
   readonly limits: Pick<
     EndpointLimits,
-    'hasCapacity' | 'computeWaitMilliseconds' | 'computePauseMilliseconds'
+    | 'hasCapacity'
+    | 'isLimited'
+    | 'computeWaitMilliseconds'
+    | 'computePauseMilliseconds'
   >;
   /** Returns the configuration in force; undefined before the first one. */
   readonly configuration: () => RoutingConfiguration | undefined;
@@ -44,7 +47,7 @@
   readonly evacuatedZones: Pick<ReadonlySet<string>, 'has'>;
   readonly coldEndpoints: Pick<
     ColdEndpoints,
-    'hasCapacity' | 'computeWaitMilliseconds'
+    'hasCapacity' | 'isCold' | 'computeWaitMilliseconds'
   >;
   /** Region of an availability zone; undefined if it is not known. */
   readonly regionOf: (availabilityZone: string) => string | undefined;
@@ -86,6 +89,15 @@
     );
   }
 
+  /**
+   * Returns whether the requests sent to an endpoint are counted against a rate, so
+   * that it may accept no more once the next one has been sent.
+   */
+  isRateLimited(entry: EndpointEntry): boolean {
+    const {limits, coldEndpoints} = this.options;
+    return limits.isLimited(entry.id) || coldEndpoints.isCold(entry);
+  }
+
   /**
    * Returns whether an endpoint is in an allowed region and in no evacuated zone.
    */
--- a/packages/forwarding/src/endpoint_limits/endpoint_limits.ts
+++ b/packages/forwarding/src/endpoint_limits/endpoint_limits.ts
@@ -120,6 +120,11 @@
     return limit?.requestsPerSecond === undefined || limit.rate.hasCapacity();
   }
 
+  /** Returns whether a rate limit of an endpoint is in force. */
+  isLimited(endpointId: string): boolean {
+    return this.limits.get(endpointId)?.requestsPerSecond !== undefined;
+  }
+
   /** Computes the milliseconds until an endpoint accepts another request. */
   computeWaitMilliseconds(endpointId: string): number {
     const limit = this.limits.get(endpointId);
--- a/packages/forwarding/src/run_mover/run_mover.test.ts
+++ b/packages/forwarding/src/run_mover/run_mover.test.ts
@@ -92,6 +92,7 @@
       'to a cold engine at its limit': {
         coldEndpoints: {
           hasCapacity: () => false,
+          isCold: () => true,
           computeWaitMilliseconds: () => 100,
         },
       },
--- a/packages/forwarding/src/service_queue/service_queue.ts
+++ b/packages/forwarding/src/service_queue/service_queue.ts
@@ -27,6 +27,12 @@
 /** Wait from which a request is logged as queued. */
 const LOGGED_WAIT_MILLISECONDS = 50;
 
+/**
+ * Requests that one review starts at an endpoint with a rate limit. A request is
+ * counted only when it is sent, which is after the review.
+ */
+const STARTS_OF_LIMITED_ENDPOINT = 1;
+
 /** A request that asks for an engine. */
 export interface QueuedExchange {
   readonly request: AdmissionRequest;
@@ -176,10 +182,17 @@
     return [];
   }
   const {exchange, context} = waiting;
-  return context.loads.computeCandidates(
-    findUntriedEndpoints(exchange, context),
-    exchange.service,
-  );
+  const {loads, eligibility} = context;
+  return loads
+    .computeCandidates(
+      findUntriedEndpoints(exchange, context),
+      exchange.service,
+    )
+    .map(candidate =>
+      eligibility.isRateLimited(candidate.entry)
+        ? {...candidate, remainingStarts: STARTS_OF_LIMITED_ENDPOINT}
+        : candidate,
+    );
 }
 
 function reject(
--- a/packages/scheduling/src/place_requests/place_requests.ts
+++ b/packages/scheduling/src/place_requests/place_requests.ts
@@ -94,7 +94,8 @@
 ): AdmissionPlacement<T> | undefined {
   const tokens = computeMeanMemory(request);
   const {prefillMilliseconds} = request;
-  const room = findRoom(engines, {
+  const open = engines.filter(({remainingStarts}) => remainingStarts !== 0);
+  const room = findRoom(open, {
     tokens,
     prefillMilliseconds,
     usesReserves,
@@ -146,6 +147,10 @@
       ? {
           ...engine,
           openRequests: engine.openRequests + 1,
+          remainingStarts:
+            engine.remainingStarts === undefined
+              ? undefined
+              : engine.remainingStarts - 1,
           usedTokens: engine.usedTokens + computeMeanMemory(request),
           waitMilliseconds:
             engine.waitMilliseconds + request.prefillMilliseconds,
--- a/packages/scheduling/src/select_endpoint/select_endpoint.ts
+++ b/packages/scheduling/src/select_endpoint/select_endpoint.ts
@@ -12,6 +12,8 @@
   readonly slots: number;
   /** Open requests up to which the endpoint takes another one now. */
   readonly concurrencyLimit: number;
+  /** Requests that may be sent in one review; absent if not limited. */
+  readonly remainingStarts?: number;
   /** Memory used by open generations and copies, in tokens. */
   readonly usedTokens: number;
   /** Memory capacity of an engine, in tokens; infinite for plain services. */
