Keep waiting requests in the lane of their current regions

The lane of a waiting request was that of its admission, and the engines of its first request counted for all of the lane. Once a new configuration restricted the organisation of that request, the others of the lane were held back by it, or rejected with no_engine although their engines had room, and the restricted request itself waited for a second although no allowed endpoint was left. Lanes now follow the configuration in force, and a request without an allowed endpoint is settled at once.

--- a/packages/forwarding/src/create_admission_request/create_admission_request.ts
+++ b/packages/forwarding/src/create_admission_request/create_admission_request.ts
@@ -20,12 +20,12 @@
  * Creates the description of a request for the admission.
  *
  * @param exchange - The request
- * @param context - Provides the prefill time of the engines
+ * @param context - Provides the prefill time and the filter of the engines
  * @param options - Identifier in the queue, and how long runs take
  */
 export function createAdmissionRequest(
   exchange: Exchange,
-  {loads}: Pick<ForwardingContext, 'loads'>,
+  {loads, eligibility}: Pick<ForwardingContext, 'loads' | 'eligibility'>,
   {id, runTimes}: {readonly id: string; readonly runTimes: RunTimes},
 ): AdmissionRequest {
   const {route, organisation, arrivedAt, expiresAt} = exchange;
@@ -35,7 +35,7 @@
   const prefillMilliseconds = promptTokens * loads.prefillMillisecondsPerToken;
   return {
     id,
-    lane: createLane(exchange),
+    lane: createLane(exchange, eligibility),
     organisation: organisation?.name ?? 'public',
     weight: ORGANISATION_WEIGHT,
     priority: computeAdmissionPriority({
@@ -56,17 +56,17 @@
   };
 }
 
-/** Returns a key that is equal for requests that the same engines may run. */
-function createLane({
-  origin,
-  triedEndpointIds,
-  route,
-  organisation,
-}: Exchange): string {
+/**
+ * Returns a key that is equal for requests that the same engines may run now. It
+ * changes with the configuration in force.
+ */
+export function createLane(
+  exchange: Exchange,
+  eligibility: ForwardingContext['eligibility'],
+): string {
   return JSON.stringify([
-    origin?.softwareVersion,
-    [...triedEndpointIds].sort(),
-    [...(route.allowedRegions ?? [])].sort(),
-    [...(organisation?.allowedRegions ?? [])].sort(),
+    exchange.origin?.softwareVersion,
+    [...exchange.triedEndpointIds].sort(),
+    eligibility.listAllowedRegions(exchange),
   ]);
 }
--- a/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
+++ b/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
@@ -163,6 +163,18 @@
     return ready.length > 0 && !ready.some(this.createFilter(request));
   }
 
+  /**
+   * Lists the regions in which a request may run now, in a fixed order; undefined if
+   * all may be used.
+   */
+  listAllowedRegions(
+    request: EligibilityRequest,
+  ): readonly string[] | undefined {
+    const {configuration} = this.options;
+    const regions = resolveAllowedRegions(request, configuration());
+    return regions && [...regions].sort();
+  }
+
   private createFilter(
     request: EligibilityRequest,
   ): (entry: EndpointEntry) => boolean {
--- a/packages/forwarding/src/engine_queue/test_gateway.ts
+++ b/packages/forwarding/src/engine_queue/test_gateway.ts
@@ -67,6 +67,7 @@
       triedEndpointIds?: string[];
       origin?: {service: string; softwareVersion: string};
       isCall?: boolean;
+      organisation?: string;
     } = {},
   ): {outcome?: EngineAcquisition; controller: AbortController} {
     const controller = new AbortController();
@@ -85,6 +86,7 @@
         targetLatencyMilliseconds: 4_000,
       },
       service: overrides.isCall ? {name: 'desk'} : SERVICE,
+      organisation: overrides.organisation && {name: overrides.organisation},
       arrivedAt,
       expiresAt: arrivedAt + timeoutMilliseconds,
       signal: controller.signal,
--- a/packages/forwarding/src/service_queue/service_queue.test.ts
+++ b/packages/forwarding/src/service_queue/service_queue.test.ts
@@ -5,7 +5,14 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
-import {isWaiting, TestGateway} from '../engine_queue/test_gateway.js';
+import type {RoutingConfiguration} from '@briarpin/coordination';
+
+import {createConfiguration} from '../endpoint_eligibility/eligibility_fixture.js';
+import {
+  createEntry,
+  isWaiting,
+  TestGateway,
+} from '../engine_queue/test_gateway.js';
 
 /** Limits that allow another request now, before those in flight are counted. */
 const ONE_LEFT = {
@@ -42,4 +49,54 @@
       });
     }
   });
+
+  // Guards against requests that are rejected or held back for the restriction of
+  // another request that was admitted under the same one.
+  describe('when a new configuration restricts an organisation', () => {
+    const createRestricted = () => {
+      const state: {configuration?: RoutingConfiguration} = {};
+      const gateway = new TestGateway({
+        configuration: () => state.configuration,
+      });
+      gateway.fill('e1');
+      const restrict = () => {
+        state.configuration = createConfiguration({organisation: ['west']});
+      };
+      return {gateway, restrict};
+    };
+
+    it('rejects its requests at once if no allowed engine is left', async () => {
+      const {gateway, restrict} = createRestricted();
+      const restricted = gateway.submit({organisation: 'quilters'});
+      const other = gateway.submit({organisation: 'north'});
+      await gateway.clock.advance(60);
+      restrict();
+      await gateway.clock.advance(60);
+      assert.deepEqual(restricted.outcome, {kind: 'none'});
+      assert.ok(isWaiting(other));
+      await gateway.clock.advance(1_500);
+      gateway.release('e1');
+      await gateway.clock.advance(60);
+      assert.equal(other.outcome?.kind, 'placed');
+    });
+
+    it('lets other requests go on to the engines that it may not use', async () => {
+      const {gateway, restrict} = createRestricted();
+      const west = {...createEntry('w1'), availabilityZone: 'west-1'};
+      gateway.engines = [...gateway.engines, west];
+      gateway.fill('w1');
+      const restricted = gateway.submit({organisation: 'quilters'});
+      const other = gateway.submit({organisation: 'north'});
+      await gateway.clock.advance(60);
+      restrict();
+      gateway.release('e1');
+      await gateway.clock.advance(60);
+      assert.equal(other.outcome?.kind, 'placed');
+      assert.ok(isWaiting(restricted));
+      gateway.release('w1');
+      await gateway.clock.advance(60);
+      assert.ok(restricted.outcome?.kind === 'placed');
+      assert.equal(restricted.outcome.engine.id, 'w1');
+    });
+  });
 });
--- a/packages/forwarding/src/service_queue/service_queue.ts
+++ b/packages/forwarding/src/service_queue/service_queue.ts
@@ -8,6 +8,7 @@
   type FindRoom,
 } from '@briarpin/scheduling';
 
+import {createLane} from '../create_admission_request/create_admission_request.js';
 import type {EndpointCandidate} from '../endpoint_loads/endpoint_loads.js';
 import {
   createNotSent,
@@ -43,7 +44,7 @@
 }
 
 interface WaitingExchange extends QueuedExchange {
-  /** Changes when the request can no longer run at the engines of its lane. */
+  /** Its lane changes with the regions that the configuration allows. */
   request: AdmissionRequest;
   readonly queuedAt: number;
   isLogged: boolean;
@@ -120,6 +121,7 @@
     if (this.waiting.size === 0) {
       return;
     }
+    this.waiting.forEach(waiting => this.applyRestrictions(waiting, now));
     const {placements, rejections} = this.admission.review(now, ({id}) =>
       findEngines(this.waiting.get(id)),
     );
@@ -139,25 +141,45 @@
   }
 
   /**
-   * Settles a placed request. A change of the configuration may have excluded
-   * it from the engines of its lane; it then waits in a lane of its own.
+   * Settles a request for which no allowed endpoint is left, and moves one whose
+   * allowed regions have changed to the lane of the requests that have the same.
    */
+  private applyRestrictions(waiting: WaitingExchange, now: number): void {
+    const {request, exchange, context} = waiting;
+    const {eligibility} = context;
+    if (eligibility.isRestrictedFromAll(exchange)) {
+      this.admission.withdraw(request);
+      waiting.settle({kind: 'none'});
+      return;
+    }
+    const lane = createLane(exchange, eligibility);
+    if (lane !== request.lane) {
+      this.admission.withdraw(request);
+      waiting.request = {...request, lane};
+      this.resubmit(waiting, now);
+    }
+  }
+
+  /** Settles a placed request, unless its engine is no longer eligible. */
   private place(
     placed: WaitingExchange,
     engine: EndpointCandidate,
     now: number,
   ): void {
-    const {request, exchange, context} = placed;
+    const {exchange, context} = placed;
     const allowed = findUntriedEndpoints(exchange, context);
     if (allowed.some(({id}) => id === engine.id)) {
       recordPlacement(placed, now, engine.id);
       placed.settle({kind: 'placed', engine});
-      return;
+    } else {
+      this.resubmit(placed, now);
     }
-    placed.request = {...request, lane: `${request.lane} ${request.id}`};
-    const rejection = this.admission.submit(placed.request, now);
+  }
+
+  private resubmit(waiting: WaitingExchange, now: number): void {
+    const rejection = this.admission.submit(waiting.request, now);
     if (rejection !== undefined) {
-      reject(placed, rejection, now);
+      reject(waiting, rejection, now);
     }
   }
 
