Do not charge the whole total of an organisation at its first report

Reports name only organisations with recent work, with their totals since the start of the process. The first total of an organisation now only sets its count, unless the process has been known since it counted from 0.

--- a/packages/forwarding/src/organisation_work/organisation_work.test.ts
+++ b/packages/forwarding/src/organisation_work/organisation_work.test.ts
@@ -63,6 +63,38 @@
     ]);
   });
 
+  // Guards against a gateway that has just started and takes the totals of hours
+  // for recent work as soon as idle organisations send requests again.
+  it('does not charge the total of an organisation that it first hears of', () => {
+    const counts = new OrganisationWorkCounts(() => 0);
+    const report = (organisation: string, tokens: number) =>
+      counts.applyReport({
+        gateway: 'g2',
+        organisationWork: [{organisation, tokens}],
+        isFirst: false,
+      });
+    report('north', 5_000_000);
+    assert.deepEqual(report('south', 5_000_000), []);
+    assert.deepEqual(report('south', 5_000_400), [
+      {organisation: 'south', tokens: 400},
+    ]);
+  });
+
+  it('charges all work of a process that has restarted', () => {
+    const counts = new OrganisationWorkCounts(() => 0);
+    const report = (organisation: string, tokens: number, isFirst: boolean) =>
+      counts.applyReport({
+        gateway: 'g2',
+        organisationWork: [{organisation, tokens}],
+        isFirst,
+      });
+    report('north', 5_000_000, true);
+    report('north', 300, true);
+    assert.deepEqual(report('south', 900, false), [
+      {organisation: 'south', tokens: 900},
+    ]);
+  });
+
   it('does not charge again what a gateway reports after a silence', () => {
     const counts = new OrganisationWorkCounts(() => 0);
     const report = {
--- a/packages/forwarding/src/organisation_work/organisation_work.ts
+++ b/packages/forwarding/src/organisation_work/organisation_work.ts
@@ -31,6 +31,13 @@
   readonly isFirst: boolean;
 }
 
+/** Totals that another gateway has reported. */
+interface ReportedTotals {
+  readonly totals: Map<string, number>;
+  /** True if its process has been known since it counted from 0. */
+  readonly isComplete: boolean;
+}
+
 /**
  * Counts the prompt and output tokens that organisations receive, and turns the
  * counts of other gateways into charges.
@@ -41,7 +48,7 @@
 export class OrganisationWorkCounts {
   private readonly totals = new Map<string, number>();
   private readonly recentWork = new RecentWork();
-  private readonly totalsByGateway = new Map<string, Map<string, number>>();
+  private readonly reportedByGateway = new Map<string, ReportedTotals>();
 
   /**
    * @param now - Returns the monotonic time, in milliseconds
@@ -74,23 +81,28 @@
    * gateway.
    *
    * The first report of a gateway only sets the counts, because its process may
-   * have counted for hours. A process that has restarted counts from 0.
+   * have counted for hours. For the same reason, the first report that names an
+   * organisation only sets its count; organisations without recent work are not
+   * named. A process that has restarted counts from 0.
    *
    * @param report - Report of another gateway
    * @returns Charges of more than 0 tokens
    */
   applyReport(report: OrganisationWorkReport): OrganisationCharge[] {
     const {gateway, organisationWork, isFirst} = report;
-    const known = this.totalsByGateway.get(gateway);
-    const totals =
-      known === undefined || isFirst ? new Map<string, number>() : known;
-    this.totalsByGateway.set(gateway, totals);
+    const known = this.reportedByGateway.get(gateway);
+    const reported =
+      known === undefined || isFirst
+        ? {totals: new Map<string, number>(), isComplete: known !== undefined}
+        : known;
+    this.reportedByGateway.set(gateway, reported);
+    const {totals, isComplete} = reported;
     const charges: OrganisationCharge[] = [];
     for (const {organisation, tokens} of organisationWork) {
-      const previous = totals.get(organisation) ?? 0;
+      const previous = totals.get(organisation) ?? (isComplete ? 0 : tokens);
       const received = tokens < previous ? tokens : tokens - previous;
       setBounded(totals, organisation, tokens);
-      if (known !== undefined && received > 0) {
+      if (received > 0) {
         const charged = Math.min(MAXIMUM_CHARGE_TOKENS, received);
         charges.push({organisation, tokens: charged});
       }
@@ -100,7 +112,7 @@
 
   /** Forgets the counts of a gateway that no longer reports. */
   removeGateway(gateway: string): void {
-    this.totalsByGateway.delete(gateway);
+    this.reportedByGateway.delete(gateway);
   }
 }
 
