Charge reported tokens only to the queues of engines

Other gateways report the tokens that organisations received from engines. They were charged also to the queues of plain services, which count each call as one, so that the calls of an organisation waited behind thousands of others. Work of this gateway was never charged there.

--- a/packages/forwarding/src/engine_queue/engine_queue.test.ts
+++ b/packages/forwarding/src/engine_queue/engine_queue.test.ts
@@ -187,6 +187,28 @@
   });
 
   describe('calls to a plain service', () => {
+    // Guards against organisations whose calls wait for the tokens that they
+    // received from engines through other gateways.
+    it('are not charged the tokens of engines that others report', async () => {
+      const gateway = new TestGateway();
+      gateway.loads.add('e1', {requests: 24});
+      const call = (organisation: string) =>
+        gateway.submit({
+          organisation,
+          isCall: true,
+          timeoutMilliseconds: 10_000,
+        });
+      const first = call('north');
+      gateway.queue.charge('north', 6_000);
+      const others = [1, 2, 3].map(() => call('south'));
+      await gateway.clock.advance(40);
+      gateway.loads.remove('e1', {requests: 2});
+      gateway.queue.review();
+      await gateway.clock.advance(0);
+      assert.equal(first.outcome?.kind, 'placed');
+      assert.equal(others.filter(isWaiting).length, 2);
+    });
+
     it('wait at the gateway beyond what the endpoint works off in time', async () => {
       const gateway = new TestGateway();
       gateway.loads.add('e1', {requests: 24});
--- a/packages/forwarding/src/engine_queue/engine_queue.ts
+++ b/packages/forwarding/src/engine_queue/engine_queue.ts
@@ -139,14 +139,20 @@
   }
 
   /**
-   * Charges an organisation for work that it received through other gateways.
+   * Charges an organisation for work that it received from engines through other
+   * gateways. Plain services count calls, which are not reported, instead of
+   * tokens.
    *
    * @param organisation - The organisation
    * @param tokens - Prompt and output tokens
    */
   charge(organisation: string, tokens: number): void {
     const now = this.options.clock.now();
-    this.services.forEach(service => service.charge(organisation, tokens, now));
+    for (const service of this.services.values()) {
+      if (service.countsTokens) {
+        service.charge(organisation, tokens, now);
+      }
+    }
   }
 
   /** Summarises the waiting requests and the recent work by organisation. */
@@ -185,8 +191,11 @@
   private findService({name, engine}: RoutedService): ServiceQueue {
     let service = this.services.get(name);
     if (service === undefined) {
-      const findRoom = engine === undefined ? findCallRoom : findEngineRoom;
-      service = new ServiceQueue(this.options.random, findRoom);
+      service = new ServiceQueue({
+        random: this.options.random,
+        findRoom: engine === undefined ? findCallRoom : findEngineRoom,
+        countsTokens: engine !== undefined,
+      });
       this.services.set(name, service);
     }
     return service;
--- a/packages/forwarding/src/service_queue/service_queue.ts
+++ b/packages/forwarding/src/service_queue/service_queue.ts
@@ -51,17 +51,30 @@
   readonly settle: (acquisition: EngineAcquisition) => void;
 }
 
+/** Options of {@link ServiceQueue}. */
+export interface ServiceQueueOptions {
+  /** Returns a random number in [0, 1). */
+  readonly random: () => number;
+  /** Finds the endpoints with room. */
+  readonly findRoom: FindRoom;
+  /** True if work is counted in tokens, false if in calls. */
+  readonly countsTokens: boolean;
+}
+
 /** Holds the waiting requests of one service and settles them in reviews. */
 export class ServiceQueue {
   private readonly admission: EngineAdmission<EndpointCandidate>;
   private readonly waiting = new Map<string, WaitingExchange>();
 
+  /** True if work is counted in tokens, false if in calls. */
+  readonly countsTokens: boolean;
+
   /**
-   * @param random - Returns a random number in [0, 1)
-   * @param findRoom - Finds the endpoints with room
+   * @param options - Random source, room at the endpoints and unit of work
    */
-  constructor(random: () => number, findRoom: FindRoom) {
+  constructor({random, findRoom, countsTokens}: ServiceQueueOptions) {
     this.admission = new EngineAdmission(random, findRoom);
+    this.countsTokens = countsTokens;
   }
 
   /** Number of waiting requests. */
