Remove the work of silent gateways while no gateway reports

Gateways without a recent report were looked for only when another report arrived. A task now looks every 500 ms, where requests wait for engines.

--- a/packages/daemon/src/machine/exchange_reports.ts
+++ b/packages/daemon/src/machine/exchange_reports.ts
@@ -26,6 +26,9 @@
  */
 const GATEWAY_TIMEOUT_MILLISECONDS = 2_000;
 
+/** Interval at which gateways without a recent report are looked for. */
+const SILENCE_CHECK_MILLISECONDS = 500;
+
 /** Maximum age in a report; fits into the field of the message. */
 const MAXIMUM_REPORTED_AGE_MILLISECONDS = 3_600_000;
 
@@ -118,12 +121,7 @@
   report.leaving.forEach(leaving =>
     endpoints.applyDeparture(fromLeavingEndpoint(leaving)),
   );
-  mesh
-    .evictSilentGateways(GATEWAY_TIMEOUT_MILLISECONDS)
-    .forEach(gatewayName => {
-      loads.removeGateway(gatewayName);
-      organisationWork.removeGateway(gatewayName);
-    });
+  removeSilentGateways({loads, organisationWork}, mesh);
   organisationWork
     .applyReport(report)
     .forEach(({organisation, tokens}) =>
@@ -132,6 +130,57 @@
   engineQueue.reviewAfterReport();
 }
 
+/**
+ * Removes the work of gateways that have become silent, also while no gateway
+ * reports. Requests that wait for engines would otherwise wait for work that has
+ * ended. Runs until the signal is aborted.
+ *
+ * @param components - Clock, endpoint loads, work by organisation and waiting
+ *   requests. Has no effect where requests do not wait for engines
+ * @param mesh - Evicts the gateways without a recent report
+ * @param signal - Ends the task
+ */
+export async function watchSilentGateways(
+  {
+    clock,
+    loads,
+    organisationWork,
+    engineQueue,
+    queuesForEngines,
+  }: Pick<
+    ForwardingContext,
+    'clock' | 'loads' | 'organisationWork' | 'engineQueue' | 'queuesForEngines'
+  >,
+  mesh: Pick<GatewayMesh, 'evictSilentGateways'>,
+  signal: AbortSignal,
+): Promise<void> {
+  while (!signal.aborted) {
+    await clock.sleep(SILENCE_CHECK_MILLISECONDS, signal);
+    if (
+      queuesForEngines() &&
+      removeSilentGateways({loads, organisationWork}, mesh)
+    ) {
+      engineQueue.reviewAfterReport();
+    }
+  }
+}
+
+/** Returns whether any gateway was removed. */
+function removeSilentGateways(
+  {
+    loads,
+    organisationWork,
+  }: Pick<ForwardingContext, 'loads' | 'organisationWork'>,
+  mesh: Pick<GatewayMesh, 'evictSilentGateways'>,
+): boolean {
+  const silent = mesh.evictSilentGateways(GATEWAY_TIMEOUT_MILLISECONDS);
+  silent.forEach(gateway => {
+    loads.removeGateway(gateway);
+    organisationWork.removeGateway(gateway);
+  });
+  return silent.length > 0;
+}
+
 /** Rounds the time until a return, if there is one. */
 function toReportedReturn(
   milliseconds: number | undefined,
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -29,7 +29,11 @@
 import {createEvacuatedZones} from './create_evacuated_zones.js';
 import {createForwardingContext} from './create_forwarding_context.js';
 import {createTelemetry} from './create_telemetry.js';
-import {createReport, applyReport} from './exchange_reports.js';
+import {
+  createReport,
+  applyReport,
+  watchSilentGateways,
+} from './exchange_reports.js';
 import {encodeGateway, followStore, GATEWAYS_TOPIC} from './follow_store.js';
 import type {StoreState} from './follow_store.js';
 import type {MachineState} from './machine_state.js';
@@ -232,6 +236,9 @@
       state.abortController.signal,
     ),
   );
+  runTask('silent_gateways', logger, () =>
+    watchSilentGateways(components, mesh, state.abortController.signal),
+  );
   const stop = async () => {
     state.abortController.abort();
     gateway.close();
