Share the room of engines between lanes by the work received

Requests that may use different engines wait in different lanes, whose first requests were compared by priority, lateness and arrival only. Lanes are now compared as the requests of one lane are.

--- a/packages/scheduling/src/admission_lane/admission_lane.ts
+++ b/packages/scheduling/src/admission_lane/admission_lane.ts
@@ -3,6 +3,12 @@
  */
 import {FairQueue, type QueuedRequest} from '../fair_queue/fair_queue.js';
 import {REQUEST_CLASSES, type RequestClassName} from '../request/request.js';
+import {
+  computeCost,
+  hasReceivedLess,
+  toRequestClass,
+  type AdmissionRequest,
+} from '../admission_request/admission_request.js';
 
 /**
  * Minimum share of the work for less urgent requests while urgent ones wait.
@@ -15,39 +21,6 @@
  */
 const DUE_MILLISECONDS = 300;
 
-/**
- * Requests by whose work an organisation may have received more than another
- * one and still have its timely requests served before late ones of the other.
- */
-const LATE_SLACK_REQUESTS = 2;
-
-/** A request that asks for an engine. */
-export interface AdmissionRequest {
-  readonly id: string;
-  /** Equal for requests that the same engines may run. */
-  readonly lane: string;
-  readonly organisation: string;
-  /** Weight of the organisation. */
-  readonly weight: number;
-  /** 0 is the most urgent. */
-  readonly priority: number;
-  readonly promptTokens: number;
-  /** Expected output. */
-  readonly outputTokens: number;
-  /** Target of the time between two events, in milliseconds. */
-  readonly targetGapMilliseconds: number;
-  /** Expected time to read the prompt. */
-  readonly prefillMilliseconds: number;
-  /** Expected time from its start to its end. */
-  readonly runMilliseconds: number;
-  /** Monotonic time, in milliseconds. */
-  readonly arrivedAt: number;
-  /** Target of the time from its arrival to its first event. */
-  readonly targetLatencyMilliseconds: number;
-  /** Monotonic time at which it must have ended, in milliseconds. */
-  readonly expiresAt: number;
-}
-
 /** The request that a lane would start next. */
 export interface LaneHead {
   readonly request: AdmissionRequest;
@@ -63,34 +36,6 @@
   isLate: boolean;
 }
 
-/** Returns the expected work of a request, in tokens. */
-export function computeCost(
-  request: Pick<AdmissionRequest, 'promptTokens' | 'outputTokens'>,
-): number {
-  return request.promptTokens + request.outputTokens;
-}
-
-/**
- * Share of its output that a run holds on average over its time. The runs of an
- * engine are at different points, so that their memory is the sum of averages; the
- * sum of their final sizes left a sixth of the memory of busy engines unused.
- */
-const MEAN_OUTPUT_SHARE = 0.5;
-
-/** Returns the memory that a run holds on average, in tokens. */
-export function computeMeanMemory({
-  promptTokens,
-  outputTokens,
-}: Pick<AdmissionRequest, 'promptTokens' | 'outputTokens'>): number {
-  return promptTokens + outputTokens * MEAN_OUTPUT_SHARE;
-}
-
-/** Returns the class in whose order a request of a priority starts. */
-export function toRequestClass(priority: number): RequestClassName {
-  const index = Math.min(Math.max(0, priority), REQUEST_CLASSES.length - 1);
-  return REQUEST_CLASSES[Math.floor(index)] ?? 'deferrable';
-}
-
 /**
  * Orders the waiting requests that the same engines may run: those that can
  * still meet their target latency in one fair queue, those that have missed it
@@ -212,16 +157,23 @@
     now: number,
     received: ReadonlyMap<string, number>,
   ): LaneHead | undefined {
-    const onTime = this.onTime.peek(now, () => true);
-    const late = this.late.peek(now, () => true);
+    const onTime = this.toHead(
+      this.onTime.peek(now, () => true),
+      now,
+    );
+    const late = this.toHead(
+      this.late.peek(now, () => true),
+      now,
+    );
     if (onTime === undefined || late === undefined) {
-      return this.toHead(onTime ?? late, now);
+      return onTime ?? late;
     }
     const difference = indexOfClass(late) - indexOfClass(onTime);
     const goesFirst =
       difference < 0 ||
-      (difference === 0 && hasReceivedLess(late, onTime, received));
-    return this.toHead(goesFirst ? late : onTime, now);
+      (difference === 0 &&
+        hasReceivedLess(late.request, onTime.request, received));
+    return goesFirst ? late : onTime;
   }
 
   /** Returns the urgent request that starts next. */
@@ -274,19 +226,7 @@
   }
 }
 
-/** Returns whether the organisation of a late request is behind. */
-function hasReceivedLess(
-  late: QueuedRequest,
-  onTime: QueuedRequest,
-  received: ReadonlyMap<string, number>,
-): boolean {
-  const readShare = ({request}: QueuedRequest) =>
-    (received.get(request.organisation) ?? 0) / request.weight;
-  const slack = (LATE_SLACK_REQUESTS * late.expectedCost) / late.request.weight;
-  return readShare(late) + slack < readShare(onTime);
-}
-
-function indexOfClass({schedulingClass}: QueuedRequest): number {
+function indexOfClass({schedulingClass}: LaneHead): number {
   return REQUEST_CLASSES.indexOf(schedulingClass);
 }
 
--- a/packages/scheduling/src/create_rejection/create_rejection.ts
+++ b/packages/scheduling/src/create_rejection/create_rejection.ts
@@ -1,7 +1,7 @@
 /**
  * Rejection of a request that cannot be served in its time.
  */
-import type {AdmissionRequest} from '../admission_lane/admission_lane.js';
+import type {AdmissionRequest} from '../admission_request/admission_request.js';
 
 /** Largest random addition to a predicted wait, so that callers spread out. */
 const RETRY_JITTER_SHARE = 0.25;
--- a/packages/scheduling/src/engine_admission/create_requests.ts
+++ b/packages/scheduling/src/engine_admission/create_requests.ts
@@ -1,7 +1,7 @@
 /**
  * Requests and engines for the tests of the admission.
  */
-import type {AdmissionRequest} from '../admission_lane/admission_lane.js';
+import type {AdmissionRequest} from '../admission_request/admission_request.js';
 import {
   ModelEngine,
   PREFILL_MILLISECONDS_PER_TOKEN,
--- a/packages/scheduling/src/engine_admission/engine_admission.test.ts
+++ b/packages/scheduling/src/engine_admission/engine_admission.test.ts
@@ -35,6 +35,48 @@
       );
     });
 
+    // Guards against organisations that are served in order of arrival only because
+    // they may use other engines than the one that floods.
+    it('shares room between lanes by the work received', () => {
+      const admission = new EngineAdmission<EndpointState>(() => 0.5);
+      for (let index = 0; index < 20; index += 1) {
+        admission.submit(
+          createRequest({organisation: 'flood', lane: 'all'}),
+          0,
+        );
+      }
+      for (let index = 0; index < 10; index += 1) {
+        admission.submit(
+          createRequest({organisation: 'north', lane: 'east', arrivedAt: 1}),
+          1,
+        );
+      }
+      const served: string[] = [];
+      for (let now = 2; now < 22; now += 2) {
+        const {placements} = admission.review(now, () => [busy(18_500)]);
+        served.push(...placements.map(({request}) => request.organisation));
+      }
+      assert.equal(served.length, 10);
+      const north = served.filter(name => name === 'north').length;
+      assert.equal(north, 5);
+    });
+
+    it('lets a late request go before another lane that has received much', () => {
+      const admission = new EngineAdmission<EndpointState>(() => 0.5);
+      admission.submit(createRequest({organisation: 'north', lane: 'east'}), 0);
+      admission.submit(
+        createRequest({organisation: 'flood', lane: 'all', arrivedAt: 3_900}),
+        3_900,
+      );
+      admission.charge('flood', 50_000, 3_950);
+      admission.review(4_100, () => [busy(27_000)]);
+      const {placements} = admission.review(4_120, () => [busy(18_500)]);
+      assert.deepEqual(
+        placements.map(({request}) => request.organisation),
+        ['north'],
+      );
+    });
+
     it('lets a request that has missed its target give way to equals', () => {
       const admission = new EngineAdmission<EndpointState>(() => 0.5);
       admission.submit(createRequest({id: 'late'}), 0);
--- a/packages/scheduling/src/engine_admission/engine_admission.ts
+++ b/packages/scheduling/src/engine_admission/engine_admission.ts
@@ -2,11 +2,11 @@
  * Decides which requests for engines start now and where, and which are
  * rejected.
  */
+import {AdmissionLane} from '../admission_lane/admission_lane.js';
 import {
-  AdmissionLane,
   computeCost,
   type AdmissionRequest,
-} from '../admission_lane/admission_lane.js';
+} from '../admission_request/admission_request.js';
 import {
   createRejection,
   type AdmissionRejection,
--- a/packages/scheduling/src/engine_admission/simulate_admission.ts
+++ b/packages/scheduling/src/engine_admission/simulate_admission.ts
@@ -2,7 +2,7 @@
  * Runs a load against the admission and the model of the engines in virtual
  * time, for the tests.
  */
-import type {AdmissionRequest} from '../admission_lane/admission_lane.js';
+import type {AdmissionRequest} from '../admission_request/admission_request.js';
 import {
   selectEndpoint,
   type EndpointState,
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -3,6 +3,7 @@
  * where, and which are refused.
  */
 export * from './admission_lane/admission_lane.js';
+export * from './admission_request/admission_request.js';
 export * from './admission_rules/admission_rules.js';
 export * from './byte_budget/byte_budget.js';
 export * from './choose_endpoint/choose_endpoint.js';
--- a/packages/scheduling/src/place_requests/place_requests.ts
+++ b/packages/scheduling/src/place_requests/place_requests.ts
@@ -1,12 +1,16 @@
 /**
  * Decides which waiting requests start now, and at which engines.
  */
+import type {
+  AdmissionLane,
+  LaneHead,
+} from '../admission_lane/admission_lane.js';
 import {
   computeMeanMemory,
-  type AdmissionLane,
+  computeReceivedShare,
+  hasReceivedLess,
   type AdmissionRequest,
-  type LaneHead,
-} from '../admission_lane/admission_lane.js';
+} from '../admission_request/admission_request.js';
 import type {FindRoom} from '../find_engine_room/find_engine_room.js';
 import {REQUEST_CLASSES} from '../request/request.js';
 import {
@@ -120,19 +124,40 @@
   let best: {lane: AdmissionLane; head: LaneHead} | undefined;
   for (const lane of lanes) {
     const head = lane.peek(now, receivedTokens);
-    if (head !== undefined && (!best || isBefore(head, best.head))) {
+    if (
+      head !== undefined &&
+      (!best || isBefore(head, best.head, receivedTokens))
+    ) {
       best = {lane, head};
     }
   }
   return best?.lane;
 }
 
-function isBefore(left: LaneHead, right: LaneHead): boolean {
+/**
+ * Orders the first requests of two lanes as one lane orders its own: by priority,
+ * timely before late, then by the work that their organisations have received.
+ */
+function isBefore(
+  left: LaneHead,
+  right: LaneHead,
+  received: ReadonlyMap<string, number>,
+): boolean {
   const indexOf = ({schedulingClass}: LaneHead) =>
     REQUEST_CLASSES.indexOf(schedulingClass);
+  const difference = indexOf(left) - indexOf(right);
+  if (difference !== 0) {
+    return difference < 0;
+  }
+  if (left.isLate !== right.isLate) {
+    const [late, onTime] = left.isLate ? [left, right] : [right, left];
+    const isLateFirst = hasReceivedLess(late.request, onTime.request, received);
+    return left.isLate === isLateFirst;
+  }
+  const readShare = ({request}: LaneHead) =>
+    computeReceivedShare(request, received);
   return (
-    (indexOf(left) - indexOf(right) ||
-      Number(left.isLate) - Number(right.isLate) ||
+    (readShare(left) - readShare(right) ||
       left.request.arrivedAt - right.request.arrivedAt) < 0
   );
 }
