Reject what waits as not run when a review of the queue fails

An exception in a review, for example while the candidates of one request are computed, rejected the promise of the review timer. Without a handler that ends the process and all streams of the gateway; with one, the timer would never run again and waiting requests would wait until their deadline. The waiting requests of that service are now rejected as not run and the fault is logged as review_failed.

--- a/packages/forwarding/src/engine_queue/test_gateway.ts
+++ b/packages/forwarding/src/engine_queue/test_gateway.ts
@@ -134,6 +134,7 @@
       logger: {
         info: (event: string) => this.events.push(event),
         warn: (event: string) => this.events.push(event),
+        error: (event: string) => this.events.push(event),
       },
     };
     return context as unknown as ForwardingContext;
--- a/packages/forwarding/src/service_queue/service_queue.test.ts
+++ b/packages/forwarding/src/service_queue/service_queue.test.ts
@@ -99,4 +99,29 @@
       assert.equal(restricted.outcome.engine.id, 'w1');
     });
   });
+
+  // Guards against a process that ends, and requests that wait for ever, because a
+  // review failed.
+  it('rejects what waits as not run when a review fails', async () => {
+    const gateway = new TestGateway();
+    gateway.fill('e1');
+    const waiting = gateway.submit();
+    await gateway.clock.advance(30);
+    const {loads} = gateway;
+    const computeCandidates = loads.computeCandidates.bind(loads);
+    loads.computeCandidates = () => {
+      throw new Error('no candidates');
+    };
+    await gateway.clock.advance(60);
+    assert.ok(waiting.outcome?.kind === 'failed');
+    assert.equal(waiting.outcome.mayHaveRun, false);
+    assert.ok(gateway.events.includes('review_failed'));
+    loads.computeCandidates = computeCandidates;
+    const next = gateway.submit();
+    await gateway.clock.advance(30);
+    assert.ok(isWaiting(next));
+    gateway.release('e1');
+    await gateway.clock.advance(60);
+    assert.equal(next.outcome?.kind, 'placed');
+  });
 });
--- a/packages/forwarding/src/service_queue/service_queue.ts
+++ b/packages/forwarding/src/service_queue/service_queue.ts
@@ -129,11 +129,22 @@
     this.review(now);
   }
 
-  /** Settles the requests that start or cannot be served in their time. */
+  /**
+   * Settles the requests that start or cannot be served in their time. If that
+   * fails, all waiting requests are rejected as not run.
+   */
   review(now: number): void {
     if (this.waiting.size === 0) {
       return;
     }
+    try {
+      this.settleDecided(now);
+    } catch (error) {
+      this.rejectAll(error);
+    }
+  }
+
+  private settleDecided(now: number): void {
     this.waiting.forEach(waiting => this.applyRestrictions(waiting, now));
     const {placements, rejections} = this.admission.review(now, ({id}) =>
       findEngines(this.waiting.get(id)),
@@ -196,6 +207,18 @@
     }
   }
 
+  private rejectAll(error: unknown): void {
+    const message = error instanceof Error ? error.stack : String(error);
+    for (const waiting of [...this.waiting.values()]) {
+      waiting.context.logger.error('review_failed', {
+        request: waiting.exchange.metadata.requestId,
+        message,
+      });
+      this.admission.withdraw(waiting.request);
+      waiting.settle(createNotSent('the admission failed'));
+    }
+  }
+
   /** Rejects a request while the gateway shuts down, and logs a long wait. */
   private checkWaiting(waiting: WaitingExchange, now: number): void {
     const {request, context, queuedAt, isLogged} = waiting;
