Compute the lane of a waiting request only for a new configuration

Each review computed the lanes of all waiting requests, which is a serialisation per request and review; reviews also follow each arrival. The lane changes only with the configuration, so that it is now computed when that has changed.

--- a/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
+++ b/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
@@ -64,6 +64,11 @@
    */
   constructor(private readonly options: EndpointEligibilityOptions) {}
 
+  /** The configuration in force; undefined before the first one. */
+  get configuration(): RoutingConfiguration | undefined {
+    return this.options.configuration();
+  }
+
   /**
    * Finds the ready endpoints at which a request may run: those in its allowed
    * regions, in no evacuated zone and, once its stream has begun, of the software
--- a/packages/forwarding/src/service_queue/service_queue.ts
+++ b/packages/forwarding/src/service_queue/service_queue.ts
@@ -1,6 +1,7 @@
 /**
  * Requests that wait for the endpoints of one service.
  */
+import type {RoutingConfiguration} from '@briarpin/coordination';
 import {
   EngineAdmission,
   type AdmissionRejection,
@@ -46,6 +47,8 @@
 interface WaitingExchange extends QueuedExchange {
   /** Its lane changes with the regions that the configuration allows. */
   request: AdmissionRequest;
+  /** Configuration by which its lane was chosen. */
+  configuration: RoutingConfiguration | undefined;
   readonly queuedAt: number;
   isLogged: boolean;
   readonly settle: (acquisition: EngineAcquisition) => void;
@@ -111,6 +114,7 @@
     };
     const waiting: WaitingExchange = {
       ...queued,
+      configuration: queued.context.eligibility.configuration,
       queuedAt: now,
       isLogged: false,
       settle: acquisition => {
@@ -176,10 +180,13 @@
       waiting.settle({kind: 'none'});
       return;
     }
-    const lane = createLane(exchange, eligibility);
-    if (lane !== request.lane) {
+    const {configuration} = eligibility;
+    if (configuration === waiting.configuration) {
+      return;
+    }
+    waiting.configuration = configuration;
+    if (createLane(exchange, eligibility) !== request.lane) {
       this.admission.withdraw(request);
-      waiting.request = {...request, lane};
       this.resubmit(waiting, now);
     }
   }
@@ -201,6 +208,9 @@
   }
 
   private resubmit(waiting: WaitingExchange, now: number): void {
+    const {request, exchange, context} = waiting;
+    const lane = createLane(exchange, context.eligibility);
+    waiting.request = {...request, lane};
     const rejection = this.admission.submit(waiting.request, now);
     if (rejection !== undefined) {
       reject(waiting, rejection, now);
