Count starts for the predicted wait only while requests wait

The rate of starts divides the work that was started by the time in which requests waited. Starts of requests that did not have to wait counted too, so that after a quiet minute the predicted wait was 14 ms instead of seconds in the new test, and requests without hope waited until their time was over.

--- a/packages/scheduling/src/engine_admission/engine_admission.test.ts
+++ b/packages/scheduling/src/engine_admission/engine_admission.test.ts
@@ -128,6 +128,27 @@
   });
 
   describe('rejections', () => {
+    // Guards against waits that are predicted from the demand of a quiet time.
+    it('predicts a wait although requests started without waiting before', () => {
+      const admission = new EngineAdmission<EndpointState>(() => 0.5);
+      const engine = new ModelEngine('e1').readState();
+      for (let now = 0; now < 60_000; now += 100) {
+        admission.submit(createRequest({arrivedAt: now}), now);
+        assert.equal(
+          admission.review(now, () => [engine]).placements.length,
+          1,
+        );
+      }
+      const full = {...engine, openRequests: 1, usedTokens: 27_000};
+      for (let now = 60_000; now <= 64_000; now += 100) {
+        admission.submit(createRequest({arrivedAt: now}), now);
+        admission.review(now, () => [full]);
+      }
+      const last = createRequest({arrivedAt: 64_050});
+      const rejection = admission.submit(last, 64_050);
+      assert.equal(rejection?.reason, 'predicted_wait');
+    });
+
     it('state the predicted wait with a jitter of at most a quarter', () => {
       const admission = new EngineAdmission<EndpointState>(() => 0.999);
       const full = {...new ModelEngine('e1').readState(), openRequests: 24};
--- a/packages/scheduling/src/start_rate/start_rate.test.ts
+++ b/packages/scheduling/src/start_rate/start_rate.test.ts
@@ -33,6 +33,21 @@
     assert.equal(rate.predictMilliseconds(1_000_000, 1_000), 0);
   });
 
+  it('does not count starts while no request waited', () => {
+    const rate = new StartRate();
+    for (let now = 0; now < 60_000; now += 100) {
+      rate.observe(false, now);
+      // The review that follows the arrival of a request, at the same time.
+      rate.observe(true, now);
+      rate.recordStart(3_000);
+    }
+    rate.observe(false, 60_000);
+    rate.observe(true, 62_000);
+    rate.recordStart(2_000);
+    const predicted = rate.predictMilliseconds(10_000, 1_000);
+    assert.ok(predicted > 5_000 && predicted < 10_000, `${predicted}`);
+  });
+
   it('predicts longer waits when nothing starts', () => {
     const rate = new StartRate();
     rate.observe(true, 0);
--- a/packages/scheduling/src/start_rate/start_rate.ts
+++ b/packages/scheduling/src/start_rate/start_rate.ts
@@ -17,6 +17,8 @@
   private startedTokens = 0;
   private observedMilliseconds = 0;
   private observedAt: number | undefined;
+  /** True if requests waited in the time before the last observation. */
+  private hasWaited = false;
 
   /**
    * Advances the time; called before each change of the queue.
@@ -27,6 +29,9 @@
   observe(isWaiting: boolean, now: number): void {
     const elapsed = now - (this.observedAt ?? now);
     this.observedAt = now;
+    if (elapsed > 0) {
+      this.hasWaited = isWaiting;
+    }
     if (isWaiting && elapsed > 0) {
       const kept = Math.exp(-elapsed / DECAY_MILLISECONDS);
       this.startedTokens *= kept;
@@ -34,9 +39,11 @@
     }
   }
 
-  /** Records the start of a request that had to wait. */
+  /** Records a start; counts if requests have waited before it. */
   recordStart(tokens: number): void {
-    this.startedTokens += tokens;
+    if (this.hasWaited) {
+      this.startedTokens += tokens;
+    }
   }
 
   /**
