--- a/packages/forwarding/src/run_times/run_times.test.ts
+++ b/packages/forwarding/src/run_times/run_times.test.ts
@@ -1,5 +1,6 @@
 /**
- * Tests the estimated duration of runs.
+ * Tests the estimated duration of runs. Guards against requests that are rejected
+ * as hopeless because short or broken runs made the estimate too long.
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -16,6 +17,14 @@
     assert.equal(times.estimate('digest', 100), 0);
   });
 
+  it('counts a run that broke after its first event by its few tokens', () => {
+    const times = new RunTimes();
+    times.record('guide', 748, 6_000);
+    times.record('guide', 4, 1_500);
+    const estimate = times.estimate('guide', 748);
+    assert.ok(estimate < 7_000, `${estimate}`);
+  });
+
   it('keeps the mean of a call as it is', () => {
     const times = new RunTimes();
     times.record('refund', 0, 60);
