Give no recent age for zones that a gateway has not read itself

Answers confirm a process that has learned of an evacuated zone by reports only. Its own answers then named only the zones that it had read, with the age of that confirmation. A gateway that could not reach the store and asked such a process, for example one that has just lost the store and still counts as a reader, restored the zone although it was evacuated. The answer now states an age that is not recent while both sets of zones differ: it still leads to a read, but restores nothing.

--- a/packages/coordination/src/freshness_exchange/freshness_exchange.ts
+++ b/packages/coordination/src/freshness_exchange/freshness_exchange.ts
@@ -169,8 +169,13 @@
     message.answers.forEach(answer => this.applyAnswer(answer));
     const version = this.options.version();
     if (message.asked.length > 0 && version !== undefined) {
-      const ageMilliseconds = this.ageMilliseconds;
-      const evacuatedZones = [...this.options.evacuatedZones.listStored()];
+      const zones = this.options.evacuatedZones;
+      const evacuatedZones = [...zones.listStored()];
+      // Answers that name zones which this process has not read confirm its copy
+      // too; its age then does not hold for the zones that it has read.
+      const ageMilliseconds = zones.areInForce(evacuatedZones)
+        ? this.ageMilliseconds
+        : Math.max(this.ageMilliseconds, this.maximumAge);
       const answers = message.asked.map(question => ({
         question,
         version,
--- a/packages/coordination/src/freshness_exchange/freshness_zones.test.ts
+++ b/packages/coordination/src/freshness_exchange/freshness_zones.test.ts
@@ -138,4 +138,28 @@
     );
     assert.deepEqual(reply?.answers[0]?.evacuatedZones, ['east-1']);
   });
+
+  // Guards against a zone that is restored at a process without the store, because
+  // one that has not read its evacuation either counts as recent.
+  it('does not restore a zone by the answer of a process that has not read it', async () => {
+    const answering = createProcess();
+    const asking = createProcess();
+    for (const process of [answering, asking]) {
+      await process.clock.advance(100);
+      process.answer(['west-1']);
+      await process.clock.advance(1_000);
+    }
+    answering.answer(['west-1']);
+    let answer: FreshnessMessage | undefined;
+    answering.exchange.receive(
+      FreshnessMessage.encode({asked: [7], answers: []}).finish(),
+      message => (answer = FreshnessMessage.decode(message)),
+    );
+    const [{evacuatedZones, ageMilliseconds} = assert.fail('no answer')] =
+      answer?.answers ?? [];
+    assert.deepEqual(evacuatedZones, []);
+    asking.answer(evacuatedZones, ageMilliseconds);
+    assert.equal(asking.zones.has('west-1'), true);
+    assert.ok(ageMilliseconds >= BOUND_MILLISECONDS / 2);
+  });
 });
