--- a/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
+++ b/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
@@ -36,7 +36,10 @@
   readonly endpoints: Pick<EndpointRegistry, 'findReady' | 'hasOtherSoftware'>;
   readonly limits: Pick<
     EndpointLimits,
-    'hasCapacity' | 'computeWaitMilliseconds' | 'computePauseMilliseconds'
+    | 'hasCapacity'
+    | 'isLimited'
+    | 'computeWaitMilliseconds'
+    | 'computePauseMilliseconds'
   >;
   /** Returns the configuration in force; undefined before the first one. */
   readonly configuration: () => RoutingConfiguration | undefined;
@@ -44,7 +47,7 @@
   readonly evacuatedZones: Pick<ReadonlySet<string>, 'has'>;
   readonly coldEndpoints: Pick<
     ColdEndpoints,
-    'hasCapacity' | 'computeWaitMilliseconds'
+    'hasCapacity' | 'isCold' | 'computeWaitMilliseconds'
   >;
   /** Region of an availability zone; undefined if it is not known. */
   readonly regionOf: (availabilityZone: string) => string | undefined;
@@ -61,6 +64,11 @@
    */
   constructor(private readonly options: EndpointEligibilityOptions) {}
 
+  /** The configuration in force; undefined before the first one. */
+  get configuration(): RoutingConfiguration | undefined {
+    return this.options.configuration();
+  }
+
   /**
    * Finds the ready endpoints at which a request may run: those in its allowed
    * regions, in no evacuated zone and, once its stream has begun, of the software
@@ -86,6 +94,15 @@
     );
   }
 
+  /**
+   * Returns whether the requests sent to an endpoint are counted against a rate, so
+   * that it may accept no more once the next one has been sent.
+   */
+  isRateLimited(entry: EndpointEntry): boolean {
+    const {limits, coldEndpoints} = this.options;
+    return limits.isLimited(entry.id) || coldEndpoints.isCold(entry);
+  }
+
   /**
    * Returns whether an endpoint is in an allowed region and in no evacuated zone.
    */
@@ -95,8 +112,8 @@
 
   /**
    * Lists the engines at which a stopped run may continue: the target before the
-   * source, but those that want no requests last. A run continues at its source
-   * also in an evacuated zone, since it is in progress there.
+   * source, but those that want no requests last. A stopped run is a new request
+   * to its source too, so that no engine in an evacuated zone is listed.
    *
    * @param request - Request of the run
    * @param source - Engine that ran it
@@ -109,19 +126,19 @@
     moved: StoppedRun,
   ): EligibleEndpoints {
     const {endpoints, limits} = this.options;
-    const isAllowed = this.createRegionFilter(request);
+    const isPermitted = this.createFilter(request);
     const targets =
       moved.kind === 'stopped_at_source' ||
-      endpoints.hasOtherSoftware(moved.target) ||
-      this.isEvacuated(moved.target)
+      endpoints.hasOtherSoftware(moved.target)
         ? []
         : [moved.target];
-    const holders =
-      moved.kind === 'source_lost' ? targets : [...targets, source];
+    const isAtSource =
+      moved.kind === 'stopped' || moved.kind === 'stopped_at_source';
+    const holders = isAtSource ? [...targets, source] : targets;
     const getPause = ({id}: EndpointEntry) =>
       limits.computePauseMilliseconds(id);
     return holders
-      .filter((entry): entry is EligibleEndpoint => isAllowed(entry))
+      .filter((entry): entry is EligibleEndpoint => isPermitted(entry))
       .sort((left, right) => getPause(left) - getPause(right));
   }
 
@@ -151,15 +168,25 @@
     return ready.length > 0 && !ready.some(this.createFilter(request));
   }
 
-  private isEvacuated({availabilityZone}: EndpointEntry): boolean {
-    return this.options.evacuatedZones.has(availabilityZone);
+  /**
+   * Lists the regions in which a request may run now, in a fixed order; undefined if
+   * all may be used.
+   */
+  listAllowedRegions(
+    request: EligibilityRequest,
+  ): readonly string[] | undefined {
+    const {configuration} = this.options;
+    const regions = resolveAllowedRegions(request, configuration());
+    return regions && [...regions].sort();
   }
 
   private createFilter(
     request: EligibilityRequest,
   ): (entry: EndpointEntry) => boolean {
+    const {evacuatedZones} = this.options;
     const isAllowed = this.createRegionFilter(request);
-    return entry => isAllowed(entry) && !this.isEvacuated(entry);
+    return entry =>
+      isAllowed(entry) && !evacuatedZones.has(entry.availabilityZone);
   }
 
   private createRegionFilter(
--- a/packages/forwarding/src/service_queue/service_queue.ts
+++ b/packages/forwarding/src/service_queue/service_queue.ts
@@ -1,6 +1,7 @@
 /**
  * Requests that wait for the endpoints of one service.
  */
+import type {RoutingConfiguration} from '@briarpin/coordination';
 import {
   EngineAdmission,
   type AdmissionRejection,
@@ -8,6 +9,7 @@
   type FindRoom,
 } from '@briarpin/scheduling';
 
+import {createLane} from '../create_admission_request/create_admission_request.js';
 import type {EndpointCandidate} from '../endpoint_loads/endpoint_loads.js';
 import {
   createNotSent,
@@ -27,6 +29,12 @@
 /** Wait from which a request is logged as queued. */
 const LOGGED_WAIT_MILLISECONDS = 50;
 
+/**
+ * Requests that one review starts at an endpoint with a rate limit. A request is
+ * counted only when it is sent, which is after the review.
+ */
+const STARTS_OF_LIMITED_ENDPOINT = 1;
+
 /** A request that asks for an engine. */
 export interface QueuedExchange {
   readonly request: AdmissionRequest;
@@ -37,24 +45,39 @@
 }
 
 interface WaitingExchange extends QueuedExchange {
-  /** Changes when the request can no longer run at the engines of its lane. */
+  /** Its lane changes with the regions that the configuration allows. */
   request: AdmissionRequest;
+  /** Configuration by which its lane was chosen. */
+  configuration: RoutingConfiguration | undefined;
   readonly queuedAt: number;
   isLogged: boolean;
   readonly settle: (acquisition: EngineAcquisition) => void;
 }
 
+/** Options of {@link ServiceQueue}. */
+export interface ServiceQueueOptions {
+  /** Returns a random number in [0, 1). */
+  readonly random: () => number;
+  /** Finds the endpoints with room. */
+  readonly findRoom: FindRoom;
+  /** True if work is counted in tokens, false if in calls. */
+  readonly countsTokens: boolean;
+}
+
 /** Holds the waiting requests of one service and settles them in reviews. */
 export class ServiceQueue {
   private readonly admission: EngineAdmission<EndpointCandidate>;
   private readonly waiting = new Map<string, WaitingExchange>();
 
+  /** True if work is counted in tokens, false if in calls. */
+  readonly countsTokens: boolean;
+
   /**
-   * @param random - Returns a random number in [0, 1)
-   * @param findRoom - Finds the endpoints with room
+   * @param options - Random source, room at the endpoints and unit of work
    */
-  constructor(random: () => number, findRoom: FindRoom) {
+  constructor({random, findRoom, countsTokens}: ServiceQueueOptions) {
     this.admission = new EngineAdmission(random, findRoom);
+    this.countsTokens = countsTokens;
   }
 
   /** Number of waiting requests. */
@@ -91,6 +114,7 @@
     };
     const waiting: WaitingExchange = {
       ...queued,
+      configuration: queued.context.eligibility.configuration,
       queuedAt: now,
       isLogged: false,
       settle: acquisition => {
@@ -109,11 +133,23 @@
     this.review(now);
   }
 
-  /** Settles the requests that start or cannot be served in their time. */
+  /**
+   * Settles the requests that start or cannot be served in their time. If that
+   * fails, all waiting requests are rejected as not run.
+   */
   review(now: number): void {
     if (this.waiting.size === 0) {
       return;
     }
+    try {
+      this.settleDecided(now);
+    } catch (error) {
+      this.rejectAll(error);
+    }
+  }
+
+  private settleDecided(now: number): void {
+    this.waiting.forEach(waiting => this.applyRestrictions(waiting, now));
     const {placements, rejections} = this.admission.review(now, ({id}) =>
       findEngines(this.waiting.get(id)),
     );
@@ -133,25 +169,63 @@
   }
 
   /**
-   * Settles a placed request. A change of the configuration may have excluded
-   * it from the engines of its lane; it then waits in a lane of its own.
+   * Settles a request for which no allowed endpoint is left, and moves one whose
+   * allowed regions have changed to the lane of the requests that have the same.
    */
+  private applyRestrictions(waiting: WaitingExchange, now: number): void {
+    const {request, exchange, context} = waiting;
+    const {eligibility} = context;
+    if (eligibility.isRestrictedFromAll(exchange)) {
+      this.admission.withdraw(request);
+      waiting.settle({kind: 'none'});
+      return;
+    }
+    const {configuration} = eligibility;
+    if (configuration === waiting.configuration) {
+      return;
+    }
+    waiting.configuration = configuration;
+    if (createLane(exchange, eligibility) !== request.lane) {
+      this.admission.withdraw(request);
+      this.resubmit(waiting, now);
+    }
+  }
+
+  /** Settles a placed request, unless its engine is no longer eligible. */
   private place(
     placed: WaitingExchange,
     engine: EndpointCandidate,
     now: number,
   ): void {
-    const {request, exchange, context} = placed;
+    const {exchange, context} = placed;
     const allowed = findUntriedEndpoints(exchange, context);
     if (allowed.some(({id}) => id === engine.id)) {
       recordPlacement(placed, now, engine.id);
       placed.settle({kind: 'placed', engine});
-      return;
+    } else {
+      this.resubmit(placed, now);
     }
-    placed.request = {...request, lane: `${request.lane} ${request.id}`};
-    const rejection = this.admission.submit(placed.request, now);
+  }
+
+  private resubmit(waiting: WaitingExchange, now: number): void {
+    const {request, exchange, context} = waiting;
+    const lane = createLane(exchange, context.eligibility);
+    waiting.request = {...request, lane};
+    const rejection = this.admission.submit(waiting.request, now);
     if (rejection !== undefined) {
-      reject(placed, rejection, now);
+      reject(waiting, rejection, now);
+    }
+  }
+
+  private rejectAll(error: unknown): void {
+    const message = error instanceof Error ? error.stack : String(error);
+    for (const waiting of [...this.waiting.values()]) {
+      waiting.context.logger.error('review_failed', {
+        request: waiting.exchange.metadata.requestId,
+        message,
+      });
+      this.admission.withdraw(waiting.request);
+      waiting.settle(createNotSent('the admission failed'));
     }
   }
 
@@ -176,10 +250,17 @@
     return [];
   }
   const {exchange, context} = waiting;
-  return context.loads.computeCandidates(
-    findUntriedEndpoints(exchange, context),
-    exchange.service,
-  );
+  const {loads, eligibility} = context;
+  return loads
+    .computeCandidates(
+      findUntriedEndpoints(exchange, context),
+      exchange.service,
+    )
+    .map(candidate =>
+      eligibility.isRateLimited(candidate.entry)
+        ? {...candidate, remainingStarts: STARTS_OF_LIMITED_ENDPOINT}
+        : candidate,
+    );
 }
 
 function reject(
--- a/packages/scheduling/src/engine_admission/engine_admission.test.ts
+++ b/packages/scheduling/src/engine_admission/engine_admission.test.ts
@@ -35,6 +35,48 @@
       );
     });
 
+    // Guards against organisations that are served in order of arrival only because
+    // they may use other engines than the one that floods.
+    it('shares room between lanes by the work received', () => {
+      const admission = new EngineAdmission<EndpointState>(() => 0.5);
+      for (let index = 0; index < 20; index += 1) {
+        admission.submit(
+          createRequest({organisation: 'flood', lane: 'all'}),
+          0,
+        );
+      }
+      for (let index = 0; index < 10; index += 1) {
+        admission.submit(
+          createRequest({organisation: 'north', lane: 'east', arrivedAt: 1}),
+          1,
+        );
+      }
+      const served: string[] = [];
+      for (let now = 2; now < 22; now += 2) {
+        const {placements} = admission.review(now, () => [busy(18_500)]);
+        served.push(...placements.map(({request}) => request.organisation));
+      }
+      assert.equal(served.length, 10);
+      const north = served.filter(name => name === 'north').length;
+      assert.equal(north, 5);
+    });
+
+    it('lets a late request go before another lane that has received much', () => {
+      const admission = new EngineAdmission<EndpointState>(() => 0.5);
+      admission.submit(createRequest({organisation: 'north', lane: 'east'}), 0);
+      admission.submit(
+        createRequest({organisation: 'flood', lane: 'all', arrivedAt: 3_900}),
+        3_900,
+      );
+      admission.charge('flood', 50_000, 3_950);
+      admission.review(4_100, () => [busy(27_000)]);
+      const {placements} = admission.review(4_120, () => [busy(18_500)]);
+      assert.deepEqual(
+        placements.map(({request}) => request.organisation),
+        ['north'],
+      );
+    });
+
     it('lets a request that has missed its target give way to equals', () => {
       const admission = new EngineAdmission<EndpointState>(() => 0.5);
       admission.submit(createRequest({id: 'late'}), 0);
@@ -86,6 +128,27 @@
   });
 
   describe('rejections', () => {
+    // Guards against waits that are predicted from the demand of a quiet time.
+    it('predicts a wait although requests started without waiting before', () => {
+      const admission = new EngineAdmission<EndpointState>(() => 0.5);
+      const engine = new ModelEngine('e1').readState();
+      for (let now = 0; now < 60_000; now += 100) {
+        admission.submit(createRequest({arrivedAt: now}), now);
+        assert.equal(
+          admission.review(now, () => [engine]).placements.length,
+          1,
+        );
+      }
+      const full = {...engine, openRequests: 1, usedTokens: 27_000};
+      for (let now = 60_000; now <= 64_000; now += 100) {
+        admission.submit(createRequest({arrivedAt: now}), now);
+        admission.review(now, () => [full]);
+      }
+      const last = createRequest({arrivedAt: 64_050});
+      const rejection = admission.submit(last, 64_050);
+      assert.equal(rejection?.reason, 'predicted_wait');
+    });
+
     it('state the predicted wait with a jitter of at most a quarter', () => {
       const admission = new EngineAdmission<EndpointState>(() => 0.999);
       const full = {...new ModelEngine('e1').readState(), openRequests: 24};
