Decide which endpoints take part in the pace by their service

Cause: faults and responses changed the limit of an endpoint only after one of its own responses had stated the pace, while placement applied the limit as soon as another endpoint of the service did. An endpoint that never responded kept all its slots. An endpoint with three load figures beside others with four got an estimate, and kept the limit of 2 that it started with. Reports without estimates were looked up for every endpoint at each choice, also where no endpoint states its pace.

Change: an endpoint takes part if its service has estimates, unless its own responses lack the pace. Reports without estimates are not kept. The bounded mean of estimates moves to a module of its own.

Before the change, 'halves the limit of an endpoint that has never responded' and 'changes nothing for an endpoint with three figures beside others' failed.

--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.test.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.test.ts
@@ -171,6 +171,33 @@
       assert.equal(computeCandidate('a', SERVICE)?.decoding, undefined);
     });
 
+    it('halves the limit of an endpoint that has never responded', () => {
+      const {loads} = createLoads();
+      const dead = createEntry('dead');
+      const readLimits = () =>
+        loads
+          .computeCandidates([entry, dead], SERVICE)
+          .map(({concurrencyLimit}) => concurrencyLimit);
+      loads.recordLoad('a', {...load, pacePercent: 100});
+      loads.recordEvent('a', 28);
+      assert.deepEqual(readLimits(), [8, 8]);
+      loads.recordFault(dead);
+      assert.deepEqual(readLimits(), [8, 4]);
+    });
+
+    it('changes nothing for an endpoint with three figures beside others', () => {
+      const {loads} = createLoads();
+      loads.startRamp(createEntry('three'));
+      loads.recordLoad('three', load);
+      loads.recordLoad('a', {...load, pacePercent: 100});
+      loads.recordEvent('a', 28);
+      const entries = [entry, createEntry('three')];
+      const [, three] = loads.computeCandidates(entries, SERVICE);
+      loads.recordFault(createEntry('three'));
+      assert.equal(three?.concurrencyLimit, 8);
+      assert.equal(three?.decoding, undefined);
+    });
+
     it('predicts the wait of a plain endpoint from its pace', () => {
       const {loads, time, computeCandidate} = createLoads();
       loads.recordLoad('a', {...load, pacePercent: 100});
--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
@@ -189,14 +189,14 @@
 
   /** Records a response that changes the limit of an endpoint. */
   recordServed(entry: EndpointEntry, served: ServedRequest): void {
-    if (this.paces.isStated(entry.id)) {
+    if (this.paces.isEstimated(entry)) {
       this.ramps.recordServed(entry, served);
     }
   }
 
   /** Records a refusal of an endpoint, a broken response or none. */
   recordFault(entry: EndpointEntry): void {
-    if (this.paces.isStated(entry.id)) {
+    if (this.paces.isEstimated(entry)) {
       this.ramps.recordFault(entry);
     }
   }
--- a/packages/forwarding/src/endpoint_paces/endpoint_paces.test.ts
+++ b/packages/forwarding/src/endpoint_paces/endpoint_paces.test.ts
@@ -41,6 +41,21 @@
     assert.equal(paces.createReport().size, 0);
   });
 
+  it('looks up no reports while they contain no estimates', () => {
+    const {paces, estimate} = createPaces();
+    let lookups = 0;
+    const get = () => {
+      lookups += 1;
+      return {eventMicroseconds: 0};
+    };
+    const values = () => [{eventMicroseconds: 0}];
+    const work = {get, values} as unknown as ReturnType<typeof report>;
+    paces.setReports('front-2', report({a: 30}));
+    paces.setReports('front-2', work);
+    assert.equal(estimate('a', 'b').size, 0);
+    assert.equal(lookups, 0);
+  });
+
   it('ranks fast and slow endpoints, and puts an unknown one between them', () => {
     const {sample, estimate} = createPaces();
     sample('fast', 28);
--- a/packages/forwarding/src/endpoint_paces/endpoint_paces.ts
+++ b/packages/forwarding/src/endpoint_paces/endpoint_paces.ts
@@ -1,8 +1,10 @@
 /**
  * Pace of the endpoints that state it in their responses.
  */
+import type {EndpointEntry} from '@briarpin/coordination';
 import {computeMedian, PaceEstimator} from '@briarpin/scheduling';
 
+import {computeBoundedMean} from '../compute_bounded_mean/compute_bounded_mean.js';
 import type {ReportedLoad} from '../dialect/dialect.js';
 
 /**
@@ -17,9 +19,6 @@
  */
 const ESTIMATES_LIFETIME_MILLISECONDS = 50;
 
-/** Largest ratio of an estimate to the median of its service, either way. */
-const MAXIMUM_RATIO = 8;
-
 /** Largest value of a field of 32 bits. */
 const MAXIMUM_REPORTED_MICROSECONDS = 2 ** 32 - 1;
 
@@ -54,17 +53,20 @@
 
 /** Estimates of the endpoints of one service. */
 interface ServiceEstimates {
-  readonly computedAt: number;
+  computedAt: number;
+  readonly endpointIds: ReadonlySet<string>;
   readonly paces: ReadonlyMap<string, EndpointPace>;
 }
 
 /**
  * Estimates the pace of each endpoint from its own responses and from the
- * reports of other gateways. An endpoint takes part once one of its responses
- * has stated its pace, until it leaves or restarts.
+ * reports of other gateways. An endpoint takes part if it states its pace, or if
+ * others of its service do and none of its own responses has lacked the pace.
  */
 export class EndpointPaces {
   private readonly tracked = new Map<string, TrackedPace>();
+  /** Times of the newest responses of endpoints that have not stated a pace. */
+  private readonly unstatedAt = new Map<string, number>();
   private readonly reportsByGateway = new Map<
     string,
     ReadonlyMap<string, ReportedPace>
@@ -76,12 +78,16 @@
    */
   constructor(private readonly options: {readonly now: () => number}) {}
 
-  /** Records the load that a response states; without a pace, it is ignored. */
+  /** Records the load that a response states, with or without the pace. */
   recordLoad(endpointId: string, load: ReportedLoad | undefined): void {
+    const {now} = this.options;
     if (load?.pacePercent === undefined) {
+      if (load !== undefined && !this.tracked.has(endpointId)) {
+        this.unstatedAt.set(endpointId, now());
+      }
       return;
     }
-    const {now} = this.options;
+    this.unstatedAt.delete(endpointId);
     const tracked = this.tracked.get(endpointId) ?? {
       estimator: new PaceEstimator({now}),
       statedAt: now(),
@@ -91,9 +97,13 @@
     this.tracked.set(endpointId, tracked);
   }
 
-  /** Returns whether a response of an endpoint has stated its pace. */
-  isStated(endpointId: string): boolean {
-    return this.tracked.has(endpointId);
+  /**
+   * Returns whether an endpoint takes part. One that has never responded does,
+   * so that a dead endpoint among others does not keep its limit.
+   */
+  isEstimated({id, service}: Pick<EndpointEntry, 'id' | 'service'>): boolean {
+    const estimates = this.estimatesByService.get(service);
+    return this.tracked.has(id) || estimates?.paces.has(id) === true;
   }
 
   /**
@@ -113,12 +123,20 @@
       ?.estimator.recordSample({milliseconds, slowdown});
   }
 
-  /** Replaces the estimates of another gateway, by endpoint ID. */
+  /**
+   * Replaces the estimates of another gateway, by endpoint ID. A report without
+   * estimates is not kept: each choice would look up all endpoints in it.
+   */
   setReports(
     gateway: string,
     reports: ReadonlyMap<string, ReportedPace>,
   ): void {
-    this.reportsByGateway.set(gateway, reports);
+    const values = [...reports.values()];
+    if (values.some(({eventMicroseconds = 0}) => eventMicroseconds > 0)) {
+      this.reportsByGateway.set(gateway, reports);
+    } else {
+      this.reportsByGateway.delete(gateway);
+    }
   }
 
   /** Removes the estimates of a gateway that is no longer active. */
@@ -129,7 +147,10 @@
   /** Removes the samples of an endpoint that has left or restarted. */
   remove(endpointId: string): void {
     this.tracked.delete(endpointId);
-    this.estimatesByService.clear();
+    this.unstatedAt.delete(endpointId);
+    for (const estimates of this.estimatesByService.values()) {
+      estimates.computedAt = Number.NEGATIVE_INFINITY;
+    }
   }
 
   /**
@@ -149,13 +170,17 @@
     if (
       known !== undefined &&
       now - known.computedAt < ESTIMATES_LIFETIME_MILLISECONDS &&
-      endpointIds.every(id => known.paces.has(id))
+      endpointIds.every(id => known.endpointIds.has(id))
     ) {
       return known.paces;
     }
     const paces = this.computeEstimates(endpointIds);
     if (paces.size > 0) {
-      this.estimatesByService.set(service, {computedAt: now, paces});
+      this.estimatesByService.set(service, {
+        computedAt: now,
+        endpointIds: new Set(endpointIds),
+        paces,
+      });
     } else {
       this.estimatesByService.delete(service);
     }
@@ -166,10 +191,12 @@
     endpointIds: readonly string[],
   ): ReadonlyMap<string, EndpointPace> {
     const reports = new Map(
-      endpointIds.map(id => [id, this.listReports(id)] as const),
+      endpointIds
+        .map(id => [id, this.listReports(id)] as const)
+        .filter(([id, {length}]) => length > 0 || !this.unstatedAt.has(id)),
     );
-    const isStated = endpointIds.some(
-      id => this.tracked.has(id) || (reports.get(id)?.length ?? 0) > 0,
+    const isStated = [...reports].some(
+      ([id, {length}]) => length > 0 || this.tracked.has(id),
     );
     const estimates = new Map<string, EndpointPace>();
     if (!isStated) {
@@ -231,7 +258,7 @@
     return milliseconds;
   }
 
-  /** Averages the endpoints; an absurd estimate is limited first. */
+  /** Averages the endpoints, each by its own samples or by its reports. */
   private computeMean(
     reports: ReadonlyMap<string, readonly number[]>,
   ): number | undefined {
@@ -242,17 +269,7 @@
           computeMedian(reported),
       )
       .filter(milliseconds => milliseconds !== undefined);
-    const median = computeMedian(known);
-    if (median === undefined) {
-      return undefined;
-    }
-    const bounded = known.map(milliseconds =>
-      Math.min(
-        median * MAXIMUM_RATIO,
-        Math.max(median / MAXIMUM_RATIO, milliseconds),
-      ),
-    );
-    return bounded.reduce((sum, value) => sum + value, 0) / bounded.length;
+    return computeBoundedMean(known);
   }
 
   private removeOld(): void {
@@ -266,6 +283,11 @@
         this.tracked.delete(id);
       }
     }
+    for (const [id, respondedAt] of this.unstatedAt) {
+      if (now - respondedAt > LIFETIME_MILLISECONDS) {
+        this.unstatedAt.delete(id);
+      }
+    }
   }
 }
 
