Keep the pauses of a gateway out of the pace of its endpoints

Cause: a call whose response had waited for memory of the gateway was recorded with the time of the wait, which raised the latency and pace of its endpoint and halved its limit. A response that failed released the memory of its account again when it closed later, which could end the wait of a retry without a grant.

Change: a whole response also says that it was paused; its time is then not recorded, nor is it judged by the target latency. A failure response that was read to its end still counts as a failure. A response settles its account once.

--- a/packages/forwarding/src/buffer_body/buffer_body.test.ts
+++ b/packages/forwarding/src/buffer_body/buffer_body.test.ts
@@ -54,7 +54,11 @@
     const buffered = collect(BODY.length);
     assert.equal(budget.heldBytes, BODY.length);
     source.end(BODY);
-    assert.deepEqual(await buffered, {kind: 'whole', body: BODY});
+    assert.deepEqual(await buffered, {
+      kind: 'whole',
+      body: BODY,
+      wasPaused: false,
+    });
     assert.equal(budget.heldBytes, BODY.length);
   });
 
@@ -75,7 +79,11 @@
     await settle();
     assert.equal(source.isPaused(), true);
     other.close();
-    assert.deepEqual(await buffered, {kind: 'whole', body: BODY});
+    assert.deepEqual(await buffered, {
+      kind: 'whole',
+      body: BODY,
+      wasPaused: true,
+    });
   });
 
   it('says of a response that breaks off that it was paused', async () => {
@@ -91,6 +99,15 @@
     assert.equal(budget.heldBytes, 1_000_000);
   });
 
+  it('releases nothing of a retry when a failed response closes later', async () => {
+    const buffered = collect();
+    source.emit('error', new Error('reset'));
+    assert.equal((await buffered).kind, 'broken');
+    account.setResponseBytes(500);
+    source.emit('close');
+    assert.equal(budget.heldBytes, 500);
+  });
+
   for (const [description, end, isComplete] of [
     ['breaks off', () => source.destroy(), true],
     ['is not confirmed', () => source.end(), false],
--- a/packages/forwarding/src/buffer_body/buffer_body.ts
+++ b/packages/forwarding/src/buffer_body/buffer_body.ts
@@ -10,14 +10,13 @@
 export const MAXIMUM_BUFFERED_BYTES = 4_194_304;
 
 /** A complete body, or the reason why it is incomplete. */
-export type BufferedBody =
+export type BufferedBody = (
   | {readonly kind: 'whole'; readonly body: Buffer}
-  | {
-      readonly kind: 'broken';
-      readonly reason: string;
-      /** True if the gateway paused the response for lack of memory. */
-      readonly wasPaused: boolean;
-    };
+  | {readonly kind: 'broken'; readonly reason: string}
+) & {
+  /** True if the gateway paused the response for lack of memory. */
+  readonly wasPaused: boolean;
+};
 
 /**
  * Reads the body of a response to its end. Pauses while there is no memory for
@@ -45,7 +44,13 @@
     const body = new GrowingBuffer(statedBytes);
     let hasEnded = false;
     let wasPaused = false;
+    let isSettled = false;
     const fail = (reason: string) => {
+      // The account may already hold the response of a retry.
+      if (isSettled) {
+        return;
+      }
+      isSettled = true;
       memory.releaseResponse();
       resolve({kind: 'broken', reason, wasPaused});
     };
@@ -75,8 +80,9 @@
           fail('the answer broke off');
           return;
         }
+        isSettled = true;
         memory.setResponseBytes(body.length);
-        resolve({kind: 'whole', body: body.take()});
+        resolve({kind: 'whole', body: body.take(), wasPaused});
       });
     });
     response.on('error', error => fail(error.message));
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -38,7 +38,7 @@
 
 /** Outcome of an attempt, including its body. */
 type CallResult =
-  | (BufferedResponse & {readonly kind: 'whole'})
+  | (BufferedResponse & {readonly kind: 'whole'; readonly wasPaused: boolean})
   | {readonly kind: 'not_run'; readonly wasSent: boolean; reason: string}
   | {
       readonly kind: 'unknown';
@@ -181,19 +181,21 @@
     }
     const failed = !isSuccess(result);
     const milliseconds = clock.now() - sentAt;
-    if (!failed && context.queuesForEngines()) {
+    const wasPaused = result.kind !== 'not_run' && result.wasPaused === true;
+    if (!failed && !wasPaused && context.queuesForEngines()) {
       context.engineQueue.recordRun(exchange.route.name, 0, milliseconds);
     }
-    const wasPaused = result.kind === 'unknown' && result.wasPaused === true;
-    recordCallOutcome(loads, entry, {failed, wasPaused, milliseconds});
-    if (!failed) {
+    const isWhole = result.kind === 'whole';
+    recordCallOutcome(loads, entry, {
+      failed,
+      isWhole,
+      wasPaused,
+      milliseconds,
+    });
+    if (!failed && !wasPaused) {
       const isInTime = milliseconds <= exchange.route.targetLatencyMilliseconds;
       loads.recordServed(entry, {openRequests, isInTime});
-    } else if (
-      result.kind !== 'whole' &&
-      !wasPaused &&
-      showsFault(exchange, context)
-    ) {
+    } else if (!isWhole && !wasPaused && showsFault(exchange, context)) {
       loads.recordFault(entry);
     }
     return result;
@@ -256,8 +258,9 @@
       if (!metadata.isSigned) {
         return {kind: 'unknown', reason: 'the answer bears no signature'};
       }
-      const {rawHeaders} = response;
-      return {kind: 'whole', status, headers: rawHeaders, body: buffered.body};
+      const {rawHeaders: headers} = response;
+      const {body, wasPaused} = buffered;
+      return {kind: 'whole', status, headers, body, wasPaused};
     }
   }
 }
--- a/packages/forwarding/src/record_call_outcome/record_call_outcome.ts
+++ b/packages/forwarding/src/record_call_outcome/record_call_outcome.ts
@@ -9,6 +9,8 @@
 export interface CallOutcome {
   /** True when the endpoint failed or rejected the call. */
   readonly failed: boolean;
+  /** True if the endpoint's response was read to its end. */
+  readonly isWhole: boolean;
   /** True if the gateway had paused the response for lack of memory. */
   readonly wasPaused: boolean;
   /** Time from the attempt to its end. */
@@ -16,8 +18,9 @@
 }
 
 /**
- * Records the outcome of a call. A failure after a pause is not recorded: the
- * endpoint may have given up on a response that this gateway did not read.
+ * Records the outcome of a call. A response that broke off after a pause is not
+ * recorded: the endpoint may have given up on what this gateway did not read. A
+ * pause also says nothing of the endpoint's speed.
  *
  * @param loads - Averages of the endpoints
  * @param endpoint - Endpoint that received the call
@@ -26,10 +29,11 @@
 export function recordCallOutcome(
   loads: Pick<EndpointLoads, 'recordOutcome'>,
   {id, slots}: Pick<EndpointEntry, 'id' | 'slots'>,
-  {failed, wasPaused, milliseconds}: CallOutcome,
+  {failed, isWhole, wasPaused, milliseconds}: CallOutcome,
 ): void {
-  if (failed && wasPaused) {
+  if (!isWhole && wasPaused) {
     return;
   }
-  loads.recordOutcome(id, failed, failed ? undefined : milliseconds, slots);
+  const showsTime = !failed && !wasPaused;
+  loads.recordOutcome(id, failed, showsTime ? milliseconds : undefined, slots);
 }
