Evict silent gateways also while no report arrives

Cause: gateways without a report for 2 s were evicted only when another report arrived. A gateway cut off from all others counted the work and pace of their last reports for ever, so that idle endpoints seemed to be busy, and it was never counted as alone.

Change: eviction also runs before each own report, which is sent periodically.

Run: npm test -- exchange_reports gateway_mesh: all pass. The call before each report is wiring and has no test of its own.

--- a/packages/daemon/src/machine/exchange_reports.ts
+++ b/packages/daemon/src/machine/exchange_reports.ts
@@ -61,6 +61,28 @@
   };
 }
 
+/**
+ * Removes the work of gateways that have timed out. Must also run while no report
+ * arrives: the work that an isolated gateway knows of would count for ever.
+ *
+ * @param mesh - Evicts the gateways without a recent report
+ * @param components - Where their work is counted
+ */
+export function evictSilentGateways(
+  mesh: Pick<GatewayMesh, 'evictSilentGateways'>,
+  {
+    loads,
+    organisationWork,
+  }: Pick<ForwardingContext, 'loads' | 'organisationWork'>,
+): void {
+  mesh
+    .evictSilentGateways(GATEWAY_TIMEOUT_MILLISECONDS)
+    .forEach(gatewayName => {
+      loads.removeGateway(gatewayName);
+      organisationWork.removeGateway(gatewayName);
+    });
+}
+
 /**
  * Applies a report of another gateway and evicts gateways that have timed out.
  *
@@ -118,12 +140,7 @@
   report.leaving.forEach(leaving =>
     endpoints.applyDeparture(fromLeavingEndpoint(leaving)),
   );
-  mesh
-    .evictSilentGateways(GATEWAY_TIMEOUT_MILLISECONDS)
-    .forEach(gatewayName => {
-      loads.removeGateway(gatewayName);
-      organisationWork.removeGateway(gatewayName);
-    });
+  evictSilentGateways(mesh, {loads, organisationWork});
   organisationWork
     .applyReport(report)
     .forEach(({organisation, tokens}) =>
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -29,7 +29,11 @@
 import {createEvacuatedZones} from './create_evacuated_zones.js';
 import {createForwardingContext} from './create_forwarding_context.js';
 import {createTelemetry} from './create_telemetry.js';
-import {createReport, applyReport} from './exchange_reports.js';
+import {
+  applyReport,
+  createReport,
+  evictSilentGateways,
+} from './exchange_reports.js';
 import {encodeGateway, followStore, GATEWAYS_TOPIC} from './follow_store.js';
 import type {StoreState} from './follow_store.js';
 import type {MachineState} from './machine_state.js';
@@ -372,7 +376,10 @@
     clock,
     logger,
     startedAt: Date.now(),
-    createReport: () => createReport(gateway, components, state, clock.now()),
+    createReport: () => {
+      evictSilentGateways(mesh, components);
+      return createReport(gateway, components, state, clock.now());
+    },
     onReport: report => {
       applyReport(report, components, mesh, state);
       if (report.isFirst) {
