Tell of each pause of a stream, and remove listeners after it

Cause: a stream that waited for memory of the gateway counted the wait as the time between two events of its engine. The writer left a listener for the end of the connection on the response after each pause of a slow caller.

Change: EndpointStream reports all of its pauses. The writer removes both listeners once either has been called.

Run: npm test -- stream_writer endpoint_stream forwarding: 304 of 304 pass. Before the change, 'tells of a pause for lack of memory, and goes on after it' and 'leaves no listeners behind after each of many pauses' (40 listeners) failed.

--- a/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
+++ b/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
@@ -52,6 +52,11 @@
    * @returns A promise if reading must pause until it resolves
    */
   readonly onEvent: (event: RawEvent) => Promise<void> | undefined;
+  /**
+   * Called when reading pauses, for the caller or for lack of memory: the time to
+   * the next event then shows nothing of the endpoint's pace.
+   */
+  readonly onPause: () => void;
 }
 
 /** Reads events from one endpoint until its stream ends. */
@@ -193,6 +198,7 @@
     const {response} = this.options;
     this.hasPaused = true;
     this.openPauses += 1;
+    this.options.onPause();
     response.pause();
     void ready.then(() => {
       this.openPauses -= 1;
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -431,12 +431,9 @@
           stream.stop('the endpoint came back with other software');
           return undefined;
         }
-        const drained = this.writer.write(event);
-        if (drained !== undefined) {
-          countedWork.recordPause();
-        }
-        return drained;
+        return this.writer.write(event);
       },
+      onPause: countedWork.recordPause,
     });
     return {kind: 'leg', stream};
   }
--- a/packages/forwarding/src/stream_writer/stream_writer.ts
+++ b/packages/forwarding/src/stream_writer/stream_writer.ts
@@ -74,11 +74,13 @@
     }
     return new Promise(resolve => {
       const resume = () => {
+        response.off('drain', resume);
+        response.off('close', resume);
         this.countUnsentBytes();
         resolve();
       };
-      response.once('drain', resume);
-      response.once('close', resume);
+      response.on('drain', resume);
+      response.on('close', resume);
     });
   }
 
