Halve the limit of an endpoint that breaks off a stream

Cause: only attempts without a usable response were faults. An engine that sent a first event in time and then broke off each stream raised its limit with each of them.

Change: a stream that breaks off before its request has ended is a fault, unless this gateway had paused it.

Run: npm test -- record_broken: 2 of 2 pass.

--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -40,6 +40,7 @@
 } from '../find_checkpoint/find_checkpoint.js';
 import {explainRejection} from '../explain_rejection/explain_rejection.js';
 import {permitRetry} from '../permit_retry/permit_retry.js';
+import {recordBrokenStream} from '../record_broken_stream/record_broken_stream.js';
 import {showsFault} from '../shows_fault/shows_fault.js';
 import {pinStreamOrigin} from '../pin_stream_origin/pin_stream_origin.js';
 import type {StoppedRun} from '../run_evacuation/run_evacuation.js';
@@ -159,6 +160,7 @@
         return this.complete(end.remainder);
       }
       this.recordInterrupted(stream.endpoint);
+      recordBrokenStream(this.context.loads, stream);
       opened = await this.resumeBrokenStream(stream, end);
     }
   }
