Remove averages and limits of endpoints that have left

Cause: averages and limits are removed when an endpoint leaves, but its last requests often end later and created them again. Nothing removed them after that.

Change: averages that were not updated for 60 s, long after they have decayed, and limits that were not used for 10 minutes are removed when another is added.

--- a/packages/forwarding/src/endpoint_averages/endpoint_averages.test.ts
+++ b/packages/forwarding/src/endpoint_averages/endpoint_averages.test.ts
@@ -58,6 +58,17 @@
     assert.equal(averages.prefillMillisecondsPerToken, 0.15);
   });
 
+  it('keeps no entries of endpoints whose last requests end after they left', () => {
+    const {averages, time} = createAverages();
+    for (let index = 0; index < 1_000; index += 1) {
+      time.now += 1_000;
+      averages.remove(`engine-${index}`);
+      averages.recordOutcome(`engine-${index}`, true);
+      averages.recordFirstEvent(`engine-${index}`, 100, 30);
+    }
+    assert.ok(averages.size < 100, `${averages.size}`);
+  });
+
   it('is neutral again about an endpoint that has left', () => {
     const {averages, read} = createAverages();
     averages.recordOutcome('a', true, 100);
--- a/packages/forwarding/src/endpoint_averages/endpoint_averages.ts
+++ b/packages/forwarding/src/endpoint_averages/endpoint_averages.ts
@@ -13,6 +13,12 @@
  */
 const AVERAGE_HALF_LIFE_MILLISECONDS = 3_000;
 
+/**
+ * Age at which averages are removed; they are neutral long before. The last
+ * requests of an endpoint often end after it has left.
+ */
+const LIFETIME_MILLISECONDS = 60_000;
+
 /**
  * Initial estimate of the prefill time per prompt token, in milliseconds, used
  * until first events have been observed. Assumes a chunked prefill that shares
@@ -57,6 +63,11 @@
    */
   constructor(private readonly options: {readonly now: () => number}) {}
 
+  /** Number of endpoints with averages. */
+  get size(): number {
+    return this.averages.size;
+  }
+
   /** Time to read one prompt token at an average engine. */
   get prefillMillisecondsPerToken(): number {
     return this.millisecondsPerPromptToken;
@@ -88,7 +99,7 @@
       this.millisecondsPerPromptToken +=
         AVERAGE_WEIGHT * (perToken - this.millisecondsPerPromptToken);
     }
-    this.averages.set(endpointId, averages);
+    this.store(endpointId, averages);
   }
 
   /**
@@ -111,7 +122,7 @@
       averages.latencyMilliseconds +=
         weight * (milliseconds - averages.latencyMilliseconds);
     }
-    this.averages.set(endpointId, averages);
+    this.store(endpointId, averages);
   }
 
   /** Removes the averages of an endpoint. */
@@ -131,6 +142,18 @@
     };
   }
 
+  private store(endpointId: string, averages: Averages): void {
+    if (!this.averages.has(endpointId)) {
+      const oldest = this.options.now() - LIFETIME_MILLISECONDS;
+      for (const [id, {updatedAt}] of this.averages) {
+        if (updatedAt < oldest) {
+          this.averages.delete(id);
+        }
+      }
+    }
+    this.averages.set(endpointId, averages);
+  }
+
   private decay(endpointId: string): Averages {
     const now = this.options.now();
     const previous = this.averages.get(endpointId);
--- a/packages/forwarding/src/endpoint_ramps/endpoint_ramps.test.ts
+++ b/packages/forwarding/src/endpoint_ramps/endpoint_ramps.test.ts
@@ -66,4 +66,26 @@
     ramps.start(ENTRY);
     assert.equal(ramps.readLimit(ENTRY, NONE), 2);
   });
+
+  it('keeps no limits of endpoints whose last requests fail after they left', () => {
+    const time = {now: 0};
+    const ramps = new EndpointRamps({now: () => time.now});
+    for (let index = 0; index < 1_000; index += 1) {
+      time.now += 3_000;
+      ramps.remove(`engine-${index}`);
+      ramps.recordFault({...ENTRY, id: `engine-${index}`});
+    }
+    assert.ok(ramps.size < 250, `${ramps.size}`);
+  });
+
+  it('keeps the limit of an endpoint that is asked for while others fail', () => {
+    const time = {now: 0};
+    const ramps = new EndpointRamps({now: () => time.now});
+    ramps.start(ENTRY);
+    for (let index = 0; index < 1_000; index += 1) {
+      time.now += 3_000;
+      ramps.recordFault({...ENTRY, id: `engine-${index}`});
+      assert.equal(ramps.readLimit(ENTRY, NONE), 2);
+    }
+  });
 });
--- a/packages/forwarding/src/endpoint_ramps/endpoint_ramps.ts
+++ b/packages/forwarding/src/endpoint_ramps/endpoint_ramps.ts
@@ -8,21 +8,39 @@
   type ServedRequest,
 } from '@briarpin/scheduling';
 
+/**
+ * Time without use after which a limit is removed. The last requests of an
+ * endpoint often fail after it has left.
+ */
+const LIFETIME_MILLISECONDS = 600_000;
+
+/** Limit of one endpoint. */
+interface TrackedRamp {
+  readonly ramp: ConcurrencyRamp;
+  /** Time at which it was last changed or read. */
+  usedAt: number;
+}
+
 /**
  * Keeps a limit for each endpoint that is new or has failed. All others take as
  * many requests as they have slots.
  */
 export class EndpointRamps {
-  private readonly ramps = new Map<string, ConcurrencyRamp>();
+  private readonly ramps = new Map<string, TrackedRamp>();
 
   /**
    * @param options - Monotonic clock, in milliseconds
    */
   constructor(private readonly options: {readonly now: () => number}) {}
 
+  /** Number of endpoints with a limit below their slots. */
+  get size(): number {
+    return this.ramps.size;
+  }
+
   /** Starts with a small limit for an endpoint that is new or has returned. */
   start(entry: EndpointEntry): void {
-    this.ramps.set(entry.id, this.createRamp(entry, true));
+    this.store(entry, this.createRamp(entry, true));
   }
 
   /** Removes the limit of an endpoint that has left. */
@@ -32,7 +50,7 @@
 
   /** Records a response of an endpoint. */
   recordServed(entry: EndpointEntry, served: ServedRequest): void {
-    const known = this.ramps.get(entry.id);
+    const known = this.ramps.get(entry.id)?.ramp;
     if (known === undefined && served.isInTime) {
       return;
     }
@@ -43,7 +61,8 @@
 
   /** Records a refusal, a broken response or none. */
   recordFault(entry: EndpointEntry): void {
-    const ramp = this.ramps.get(entry.id) ?? this.createRamp(entry, false);
+    const ramp =
+      this.ramps.get(entry.id)?.ramp ?? this.createRamp(entry, false);
     ramp.recordFault();
     this.keepWhileLimited(entry, ramp);
   }
@@ -55,7 +74,7 @@
    * @param open - Open requests of all gateways there
    */
   readLimit(entry: EndpointEntry, open: OpenRequests): number {
-    const ramp = this.ramps.get(entry.id);
+    const ramp = this.ramps.get(entry.id)?.ramp;
     if (ramp === undefined) {
       return countSlots(entry);
     }
@@ -71,11 +90,26 @@
 
   private keepWhileLimited(entry: EndpointEntry, ramp: ConcurrencyRamp): void {
     if (ramp.limit < countSlots(entry)) {
-      this.ramps.set(entry.id, ramp);
+      this.store(entry, ramp);
     } else {
       this.ramps.delete(entry.id);
     }
   }
+
+  private store({id}: EndpointEntry, ramp: ConcurrencyRamp): void {
+    const usedAt = this.options.now();
+    const known = this.ramps.get(id);
+    if (known?.ramp === ramp) {
+      known.usedAt = usedAt;
+      return;
+    }
+    for (const [other, tracked] of this.ramps) {
+      if (usedAt - tracked.usedAt > LIFETIME_MILLISECONDS) {
+        this.ramps.delete(other);
+      }
+    }
+    this.ramps.set(id, {ramp, usedAt});
+  }
 }
 
 function countSlots({slots}: EndpointEntry): number {
