Let the limit of an endpoint that is slow without other work grow again

Cause: a new endpoint whose responses miss the target latency was limited to one request for ever, also where the target is missed with no other request there. A service whose target no endpoint meets lost its capacity with each replaced endpoint, while those known from before kept a quarter of their slots.

Change: a slow response at the limit of 1, with nothing else open, shows that a smaller limit does not help. The limit then grows by one for each response up to a quarter of the slots, below which it is not halved by slow responses either.

--- a/packages/scheduling/src/concurrency_ramp/concurrency_ramp.test.ts
+++ b/packages/scheduling/src/concurrency_ramp/concurrency_ramp.test.ts
@@ -70,6 +70,25 @@
       assert.equal(ramp.limit, 1);
     });
 
+    it('does not stay at 1 where responses are slow even without other work', () => {
+      const {ramp, time, serveLate} = createRamp(true);
+      const limits: number[] = [];
+      for (time.now = 0; time.now < 60_000; time.now += 300) {
+        serveLate();
+        limits.push(ramp.limit);
+      }
+      assert.deepEqual(limits.slice(0, 7), [1, 2, 3, 4, 5, 6, 6]);
+      assert.equal(limits.at(-1), 6);
+    });
+
+    it('stays at 1 while responses are slow beside other work', () => {
+      const {ramp, time} = createRamp(true);
+      for (time.now = 0; time.now < 60_000; time.now += 300) {
+        ramp.recordServed({openRequests: 3, isInTime: false});
+      }
+      assert.equal(ramp.limit, 1);
+    });
+
     it('keeps a quarter of the slots of a known endpoint under overload', () => {
       const {ramp, time, serveLate} = createRamp(false);
       for (time.now = 0; time.now < 60_000; time.now += 300) {
--- a/packages/scheduling/src/concurrency_ramp/concurrency_ramp.ts
+++ b/packages/scheduling/src/concurrency_ramp/concurrency_ramp.ts
@@ -16,7 +16,8 @@
 
 /**
  * Share of the slots below which slow responses do not reduce the limit of an
- * endpoint that has carried its slots: under overload all endpoints are slow, and
+ * endpoint that has carried its slots, or that is slow without other work: under
+ * overload, or where no endpoint meets the target latency, all are slow, and
  * smaller limits everywhere would only reduce what they serve.
  */
 const SLOW_FLOOR_SHARE = 0.25;
@@ -71,6 +72,8 @@
 export class ConcurrencyRamp {
   private currentLimit: number;
   private hasCarriedSlots: boolean;
+  /** True once a response was slow at the smallest limit. */
+  private isSlowAlone = false;
   private halvedAt = Number.NEGATIVE_INFINITY;
 
   /**
@@ -89,12 +92,17 @@
 
   /** Records a response of the endpoint. */
   recordServed({openRequests, isInTime}: ServedRequest): void {
-    const {slots} = this.options;
     if (isInTime) {
       this.raise(Math.max(this.currentLimit, openRequests) + 1);
+      return;
+    }
+    this.isSlowAlone ||=
+      this.currentLimit === MINIMUM_LIMIT && openRequests <= MINIMUM_LIMIT;
+    const floor = this.computeSlowFloor();
+    if (this.isSlowAlone && this.currentLimit < floor) {
+      this.raise(this.currentLimit + 1);
     } else {
-      const floor = this.hasCarriedSlots ? slots * SLOW_FLOOR_SHARE : 0;
-      this.halve(Math.max(MINIMUM_LIMIT, Math.ceil(floor)));
+      this.halve(floor);
     }
   }
 
@@ -111,6 +119,12 @@
     }
   }
 
+  private computeSlowFloor(): number {
+    const hasFloor = this.hasCarriedSlots || this.isSlowAlone;
+    const share = hasFloor ? SLOW_FLOOR_SHARE : 0;
+    return Math.max(MINIMUM_LIMIT, Math.ceil(this.options.slots * share));
+  }
+
   private raise(limit: number): void {
     const {slots} = this.options;
     this.currentLimit = Math.min(slots, Math.max(this.currentLimit, limit));
