End the wait for a body with the time of its request

Cause: a body holds memory for its stated length while it arrives, and nothing limited that time. The deadline of a request began after its body. Three callers that stated 4 MB each and stopped sending, or vanished without closing their connections, held the memory for bodies of a small gateway for ever, and all others got 503.

Change: readBody ends with the time of the request, which is rejected as not run. receiveBody maps the outcomes to rejections, outside the gateway class.

Without the timer, 'holds nothing for a body that stops to arrive' does not end.

--- a/packages/forwarding/src/create_exchange/create_exchange.ts
+++ b/packages/forwarding/src/create_exchange/create_exchange.ts
@@ -35,11 +35,7 @@
   {route, service, organisation}: Omit<Admission & {kind: 'admitted'}, 'kind'>,
   clock: Clock,
 ): Exchange {
-  const allowedMilliseconds = Math.min(
-    route.timeoutMilliseconds,
-    received.metadata.deadlineMilliseconds ?? Number.POSITIVE_INFINITY,
-  );
-  const expiresAt = received.arrivedAt + allowedMilliseconds;
+  const expiresAt = computeExpiry(received, route);
   const timer = setTimeout(
     () => controller.abort(new Error('the time of the request is over')),
     Math.max(0, expiresAt - clock.now()),
@@ -65,6 +61,26 @@
   };
 }
 
+/**
+ * Computes when the time of a request is over, in milliseconds of the clock that
+ * its arrival was read from.
+ *
+ * @param received - The request
+ * @param route - Its route
+ */
+export function computeExpiry(
+  {arrivedAt, metadata}: Pick<Exchange, 'arrivedAt' | 'metadata'>,
+  {timeoutMilliseconds}: Pick<Exchange['route'], 'timeoutMilliseconds'>,
+): number {
+  return (
+    arrivedAt +
+    Math.min(
+      timeoutMilliseconds,
+      metadata.deadlineMilliseconds ?? Number.POSITIVE_INFINITY,
+    )
+  );
+}
+
 /** Returns a function that computes a value on its first call and keeps it. */
 function once<T>(compute: () => T): () => T {
   let value: {readonly computed: T} | undefined;
--- a/packages/forwarding/src/create_memory_rejection/create_memory_rejection.ts
+++ b/packages/forwarding/src/create_memory_rejection/create_memory_rejection.ts
@@ -38,8 +38,26 @@
   return {
     kind: 'not_run',
     reason: 'the gateway has no memory for the body',
-    retryAfterMilliseconds: Math.round(
-      RETRY_MILLISECONDS * (1 + random() * RETRY_JITTER_SHARE),
-    ),
+    retryAfterMilliseconds: computeRetryMilliseconds(random),
   };
 }
+
+/**
+ * Creates the rejection of a request whose body did not arrive in its time.
+ *
+ * @param context - Random source
+ * @returns A rejection as not run
+ */
+export function createLateBodyRejection({
+  random,
+}: Pick<ForwardingContext, 'random'>): ErrorResponse {
+  return {
+    kind: 'not_run',
+    reason: 'the body did not arrive within the time of the request',
+    retryAfterMilliseconds: computeRetryMilliseconds(random),
+  };
+}
+
+function computeRetryMilliseconds(random: () => number): number {
+  return Math.round(RETRY_MILLISECONDS * (1 + random() * RETRY_JITTER_SHARE));
+}
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -14,7 +14,6 @@
 } from '../admit_request/admit_request.js';
 import {CallerServer} from '../caller_server/caller_server.js';
 import {createExchange} from '../create_exchange/create_exchange.js';
-import {createMemoryRejection} from '../create_memory_rejection/create_memory_rejection.js';
 import {describeConnection} from '../describe_connection/describe_connection.js';
 import {Evacuator} from '../evacuator/evacuator.js';
 import type {RequestMetadata} from '../dialect/dialect.js';
@@ -34,7 +33,7 @@
 import type {MemoryAccount} from '../memory_budget/memory_budget.js';
 import type {OpenRequest} from '../open_request/open_request.js';
 import {NO_WORK} from '../open_work_table/open_work_table.js';
-import {readBody} from '../read_body/read_body.js';
+import {receiveBody} from '../receive_body/receive_body.js';
 import {recordExchange} from '../record_exchange/record_exchange.js';
 import {resolveStreamOrigin} from '../resolve_stream_origin/resolve_stream_origin.js';
 import {runWithAccount} from '../run_with_account/run_with_account.js';
@@ -168,18 +167,14 @@
       this.rejectRequest(open, admission.errorResponse);
       return;
     }
-    const read = await readBody(request, {
+    const options = {
+      route: admission.route,
       maximumBytes: this.maximumBodyBytes,
       memory,
-      signal: controller.signal,
-    });
-    if (read.kind === 'no_memory') {
-      this.rejectRequest(open, createMemoryRejection(open, context), true);
-      return;
-    }
-    if (read.kind === 'too_large') {
-      const reason = 'the body is larger than operators allow';
-      this.rejectRequest(open, {kind: 'rejected', status: 413, reason}, true);
+    };
+    const read = await receiveBody(open, options, context);
+    if (read.kind === 'rejected') {
+      this.rejectRequest(open, read.errorResponse, true);
       return;
     }
     if (read.kind === 'broken') {
--- a/packages/forwarding/src/read_body/read_body.test.ts
+++ b/packages/forwarding/src/read_body/read_body.test.ts
@@ -2,7 +2,7 @@
  * Tests how the body of a request is read within the memory of a gateway.
  *
  * Guards against a body that is collected beyond the memory, and against memory
- * that is held for a body that nobody uses.
+ * that is held for a body that nobody uses or that never arrives.
  */
 import assert from 'node:assert/strict';
 import type {IncomingMessage} from 'node:http';
@@ -28,7 +28,10 @@
     controller = new AbortController();
   });
 
-  const read = (statedBytes?: number): Promise<ReadBodyResult> => {
+  const read = (
+    statedBytes?: number,
+    timeoutMilliseconds = 60_000,
+  ): Promise<ReadBodyResult> => {
     const headers =
       statedBytes === undefined ? {} : {'content-length': String(statedBytes)};
     return readBody(
@@ -37,6 +40,7 @@
         maximumBytes: MAXIMUM_BYTES,
         memory: budget.openAccount(),
         signal: controller.signal,
+        timeoutMilliseconds,
       },
     );
   };
@@ -93,4 +97,12 @@
     await settle();
     assert.equal(budget.heldBytes, 0);
   });
+
+  it('holds nothing for a body that stops to arrive', async () => {
+    const result = read(600_000, 20);
+    source.write('first');
+    assert.equal(budget.heldBytes, 600_000);
+    assert.deepEqual(await result, {kind: 'timed_out'});
+    assert.equal(budget.heldBytes, 0);
+  });
 });
--- a/packages/forwarding/src/read_body/read_body.ts
+++ b/packages/forwarding/src/read_body/read_body.ts
@@ -19,6 +19,8 @@
   | {readonly kind: 'too_large'}
   /** The gateway has no memory left for the body. */
   | {readonly kind: 'no_memory'}
+  /** The body was not complete in time. */
+  | {readonly kind: 'timed_out'}
   /** The wait was aborted before the body was complete. */
   | {readonly kind: 'interrupted'}
   /** The connection failed or closed before the body was complete. */
@@ -32,6 +34,11 @@
   readonly memory: Pick<MemoryAccount, 'tryHoldBody' | 'releaseBody'>;
   /** Ends the wait for the rest of the body. */
   readonly signal: AbortSignal;
+  /**
+   * Time for the whole body. Without a limit, callers that stop to send without
+   * closing their connections would hold the memory of all bodies for ever.
+   */
+  readonly timeoutMilliseconds: number;
 }
 
 /**
@@ -44,7 +51,7 @@
  */
 export function readBody(
   request: IncomingMessage,
-  {maximumBytes, memory, signal}: ReadBodyOptions,
+  {maximumBytes, memory, signal, timeoutMilliseconds}: ReadBodyOptions,
 ): Promise<ReadBodyResult> {
   const statedBytes = Number(request.headers['content-length'] ?? 0);
   const isTooLarge = statedBytes > maximumBytes;
@@ -60,12 +67,17 @@
         return;
       }
       hasEnded = true;
+      clearTimeout(timer);
       if (result.kind !== 'whole') {
         body.take();
         memory.releaseBody();
       }
       resolve(result);
     };
+    const timer = setTimeout(
+      () => end({kind: 'timed_out'}),
+      Math.max(0, timeoutMilliseconds),
+    );
     request.on('data', (chunk: Buffer) => {
       const bytes = body.length + chunk.length;
       if (hasEnded) {
