Ignore implausible estimates that gateways report

Cause: the mean of a service was computed from all reported estimates. Where a single absurd one was all that is known, as after the start of a gateway, it became the predicted wait at every endpoint of the service.

Change: reports outside the bounds of a plausible pace are ignored. The conversion for reports moves to a module of its own.

Before the change, 'ignores an absurd report, also where nothing else is known' failed.

--- a/packages/forwarding/src/endpoint_paces/endpoint_paces.test.ts
+++ b/packages/forwarding/src/endpoint_paces/endpoint_paces.test.ts
@@ -56,6 +56,14 @@
     assert.equal(lookups, 0);
   });
 
+  it('ignores an absurd report, also where nothing else is known', () => {
+    const {paces, estimate} = createPaces();
+    paces.setReports('front-2', report({a: 4_000_000}));
+    assert.equal(estimate('a', 'b').size, 0);
+    paces.setReports('front-3', report({a: 30}));
+    assert.equal(estimate('a', 'b').get('b')?.milliseconds, 30);
+  });
+
   it('ranks fast and slow endpoints, and puts an unknown one between them', () => {
     const {sample, estimate} = createPaces();
     sample('fast', 28);
--- a/packages/forwarding/src/endpoint_paces/endpoint_paces.ts
+++ b/packages/forwarding/src/endpoint_paces/endpoint_paces.ts
@@ -2,10 +2,15 @@
  * Pace of the endpoints that state it in their responses.
  */
 import type {EndpointEntry} from '@briarpin/coordination';
-import {computeMedian, PaceEstimator} from '@briarpin/scheduling';
+import {
+  computeMedian,
+  isPlausiblePace,
+  PaceEstimator,
+} from '@briarpin/scheduling';
 
 import {computeBoundedMean} from '../compute_bounded_mean/compute_bounded_mean.js';
 import type {ReportedLoad} from '../dialect/dialect.js';
+import {toMicroseconds} from '../to_microseconds/to_microseconds.js';
 
 /**
  * Time without a sample after which the samples of an endpoint are discarded,
@@ -19,9 +24,6 @@
  */
 const ESTIMATES_LIFETIME_MILLISECONDS = 50;
 
-/** Largest value of a field of 32 bits. */
-const MAXIMUM_REPORTED_MICROSECONDS = 2 ** 32 - 1;
-
 const MICROSECONDS_PER_MILLISECOND = 1_000;
 
 /** Estimate that a gateway reports for an endpoint. */
@@ -132,7 +134,7 @@
     reports: ReadonlyMap<string, ReportedPace>,
   ): void {
     const values = [...reports.values()];
-    if (values.some(({eventMicroseconds = 0}) => eventMicroseconds > 0)) {
+    if (values.some(({eventMicroseconds}) => (eventMicroseconds ?? 0) > 0)) {
       this.reportsByGateway.set(gateway, reports);
     } else {
       this.reportsByGateway.delete(gateway);
@@ -198,20 +200,22 @@
     const isStated = [...reports].some(
       ([id, {length}]) => length > 0 || this.tracked.has(id),
     );
-    const estimates = new Map<string, EndpointPace>();
     if (!isStated) {
-      return estimates;
+      return new Map();
     }
+    const estimates = new Map<string, EndpointPace>();
     const meanMilliseconds = this.computeMean(reports);
     for (const [id, reportedMilliseconds] of reports) {
-      const context = {reportedMilliseconds, meanMilliseconds};
-      const estimator = this.tracked.get(id)?.estimator ?? this.unsampled;
-      const milliseconds = estimator.estimate(context);
+      const estimator =
+        this.tracked.get(id)?.estimator ?? new PaceEstimator(this.options);
+      const milliseconds = estimator.estimate({
+        reportedMilliseconds,
+        meanMilliseconds,
+      });
       if (milliseconds !== undefined && meanMilliseconds !== undefined) {
-        const ratio = milliseconds / meanMilliseconds;
         estimates.set(id, {
           milliseconds,
-          ratio,
+          ratio: milliseconds / meanMilliseconds,
           samples: estimator.intervalCount,
           reports: reportedMilliseconds.length,
           ageMilliseconds: estimator.ageMilliseconds,
@@ -243,16 +247,13 @@
     return report;
   }
 
-  private get unsampled(): PaceEstimator {
-    return new PaceEstimator(this.options);
-  }
-
   private listReports(endpointId: string): number[] {
     const milliseconds: number[] = [];
     for (const reports of this.reportsByGateway.values()) {
-      const {eventMicroseconds = 0} = reports.get(endpointId) ?? {};
-      if (eventMicroseconds > 0) {
-        milliseconds.push(eventMicroseconds / MICROSECONDS_PER_MILLISECOND);
+      const microseconds = reports.get(endpointId)?.eventMicroseconds ?? 0;
+      const reported = microseconds / MICROSECONDS_PER_MILLISECOND;
+      if (isPlausiblePace(reported)) {
+        milliseconds.push(reported);
       }
     }
     return milliseconds;
@@ -290,10 +291,3 @@
     }
   }
 }
-
-function toMicroseconds(milliseconds: number): number {
-  return Math.min(
-    MAXIMUM_REPORTED_MICROSECONDS,
-    Math.max(1, Math.round(milliseconds * MICROSECONDS_PER_MILLISECOND)),
-  );
-}
--- a/packages/scheduling/src/pace_estimator/pace_estimator.ts
+++ b/packages/scheduling/src/pace_estimator/pace_estimator.ts
@@ -199,7 +199,7 @@
     return computeMedian(
       this.intervals
         .map(({totalMilliseconds, samples}) => totalMilliseconds / samples)
-        .filter(isPlausible),
+        .filter(isPlausiblePace),
     );
   }
 
@@ -227,7 +227,7 @@
   reportedMilliseconds,
   meanMilliseconds,
 }: PaceContext): number | undefined {
-  const reports = reportedMilliseconds.filter(isPlausible);
+  const reports = reportedMilliseconds.filter(isPlausiblePace);
   const reported = computeMedian(reports);
   if (reported === undefined || meanMilliseconds === undefined) {
     return reported ?? meanMilliseconds;
@@ -236,7 +236,12 @@
   return meanMilliseconds + (reported - meanMilliseconds) * weight;
 }
 
-function isPlausible(milliseconds: number): boolean {
+/**
+ * Returns whether an estimate may be right; others are the result of a fault.
+ *
+ * @param milliseconds - Estimated time
+ */
+export function isPlausiblePace(milliseconds: number): boolean {
   return (
     milliseconds >= MINIMUM_PLAUSIBLE_MILLISECONDS &&
     milliseconds <= MAXIMUM_PLAUSIBLE_MILLISECONDS
