Predict no decoding where an event has no tokens

Cause: a configured Stride of 0, which the schema allows, made the expected decode time infinite at every engine that states its pace, so that none was selected.

--- a/packages/forwarding/src/predict_decoding/predict_decoding.test.ts
+++ b/packages/forwarding/src/predict_decoding/predict_decoding.test.ts
@@ -1,8 +1,9 @@
 /**
  * Tests the predicted decoding of an engine.
  *
- * Guards against a decode cost at plain endpoints, and against predictions that
- * leave out the request itself.
+ * Guards against a decode cost at plain endpoints, predictions that leave out the
+ * request itself, and a configured 0 that makes all costs infinite, so that no
+ * engine is selected.
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -36,6 +37,11 @@
     assert.equal(predictDecoding(undefined, PACE, 0), undefined);
   });
 
+  it('predicts nothing for a profile without tokens in an event', () => {
+    const engine = {...ENGINE, tokensPerEvent: 0};
+    assert.equal(predictDecoding(engine, PACE, 0), undefined);
+  });
+
   it('counts the request itself in the batch', () => {
     const decoding = predictDecoding(ENGINE, PACE, 0);
     const expected = 28 * (1 + 0.12 / 7);
