--- a/packages/forwarding/src/endpoint_ramps/endpoint_ramps.test.ts
+++ b/packages/forwarding/src/endpoint_ramps/endpoint_ramps.test.ts
@@ -58,7 +58,7 @@
     }
   });
 
-  it('starts again when the endpoint restarts, and forgets one that leaves', () => {
+  it('starts again when the endpoint restarts, without the limit of one that left', () => {
     const ramps = new EndpointRamps({now: () => 0});
     ramps.recordFault(ENTRY);
     ramps.remove('a');
--- a/packages/scheduling/src/pace_estimator/pace_estimator.ts
+++ b/packages/scheduling/src/pace_estimator/pace_estimator.ts
@@ -36,7 +36,7 @@
 
 /**
  * Ratio to the own estimate at which a sample is limited: a frozen gateway or a
- * preempted generation shows one pause that is no pace.
+ * preempted generation shows one pause, which is not its pace.
  */
 const MAXIMUM_SAMPLE_RATIO = 10;
 
