--- a/packages/daemon/src/machine/exchange_reports.test.ts
+++ b/packages/daemon/src/machine/exchange_reports.test.ts
@@ -1,55 +1,41 @@
 /**
- * Tests of the reports between gateways. Guards against a gateway that is cut off
- * from all others and counts their work until its own requests expire.
+ * Tests the end of the work that other gateways have reported.
+ *
+ * Guards against work and pace of a lost gateway that count although its reports
+ * have ended.
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
-import {VirtualClock} from '@briarpin/coordination';
-import type {ForwardingContext} from '@briarpin/forwarding';
+import {EndpointLoads, type ForwardingContext} from '@briarpin/forwarding';
 
-import {watchSilentGateways} from './exchange_reports.js';
+import {evictSilentGateways} from './exchange_reports.js';
 
-/** Runs the check for some seconds in which one gateway becomes silent. */
-async function runCheck(queuesForEngines: boolean) {
-  const clock = new VirtualClock();
-  const controller = new AbortController();
-  const removed: string[] = [];
-  let reviews = 0;
-  let silent = ['other'];
-  const context = {
-    clock,
-    loads: {removeGateway: (gateway: string) => removed.push(gateway)},
-    organisationWork: {
-      removeGateway: (gateway: string) => removed.push(`${gateway} work`),
-    },
-    engineQueue: {reviewAfterReport: () => (reviews += 1)},
-    queuesForEngines: () => queuesForEngines,
-  } as unknown as ForwardingContext;
-  const mesh = {
-    evictSilentGateways: (silenceMilliseconds: number) => {
-      const evicted = clock.now() > silenceMilliseconds ? silent : [];
-      silent = evicted.length > 0 ? [] : silent;
-      return evicted;
-    },
-  };
-  const watching = watchSilentGateways(context, mesh, controller.signal);
-  await clock.advance(4_000);
-  controller.abort();
-  await clock.advance(1_000);
-  await watching;
-  return {removed, reviews};
-}
+const WORK = {requests: 7, tokens: 20_000, promptTokens: 0};
 
-describe('watchSilentGateways', () => {
-  it('removes the work of silent gateways while none reports', async () => {
-    assert.deepEqual(await runCheck(true), {
-      removed: ['other', 'other work'],
-      reviews: 1,
+describe('evictSilentGateways', () => {
+  it('ends the work of a gateway without a report for 2 s', () => {
+    const time = {now: 0};
+    const loads = new EndpointLoads({
+      now: () => time.now,
+      findDraining: () => [],
+      roundTripMilliseconds: () => 0,
     });
-  });
-
-  it('changes nothing where requests do not wait for engines', async () => {
-    assert.deepEqual(await runCheck(false), {removed: [], reviews: 0});
+    const removed: string[] = [];
+    const organisationWork = {
+      removeGateway: (name: string) => void removed.push(name),
+    } as unknown as ForwardingContext['organisationWork'];
+    const mesh = {
+      evictSilentGateways: (milliseconds: number) =>
+        time.now > milliseconds ? ['front-2'] : [],
+    };
+    loads.setGatewayWork('front-2', new Map([['a', WORK]]));
+    time.now = 1_900;
+    evictSilentGateways(mesh, {loads, organisationWork});
+    assert.equal(loads.countOpenRequests('a'), 7);
+    time.now = 2_100;
+    evictSilentGateways(mesh, {loads, organisationWork});
+    assert.equal(loads.countOpenRequests('a'), 0);
+    assert.deepEqual(removed, ['front-2']);
   });
 });
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -30,9 +30,9 @@
 import {createForwardingContext} from './create_forwarding_context.js';
 import {createTelemetry} from './create_telemetry.js';
 import {
-  createReport,
   applyReport,
-  watchSilentGateways,
+  createReport,
+  evictSilentGateways,
 } from './exchange_reports.js';
 import {encodeGateway, followStore, GATEWAYS_TOPIC} from './follow_store.js';
 import type {StoreState} from './follow_store.js';
@@ -236,9 +236,6 @@
       state.abortController.signal,
     ),
   );
-  runTask('silent_gateways', logger, () =>
-    watchSilentGateways(components, mesh, state.abortController.signal),
-  );
   const stop = async () => {
     state.abortController.abort();
     gateway.close();
@@ -379,7 +376,10 @@
     clock,
     logger,
     startedAt: Date.now(),
-    createReport: () => createReport(gateway, components, state, clock.now()),
+    createReport: () => {
+      evictSilentGateways(mesh, components);
+      return createReport(gateway, components, state, clock.now());
+    },
     onReport: report => {
       applyReport(report, components, mesh, state);
       if (report.isFirst) {
--- a/packages/forwarding/src/endpoint_paces/endpoint_paces.test.ts
+++ b/packages/forwarding/src/endpoint_paces/endpoint_paces.test.ts
@@ -41,6 +41,29 @@
     assert.equal(paces.createReport().size, 0);
   });
 
+  it('looks up no reports while they contain no estimates', () => {
+    const {paces, estimate} = createPaces();
+    let lookups = 0;
+    const get = () => {
+      lookups += 1;
+      return {eventMicroseconds: 0};
+    };
+    const values = () => [{eventMicroseconds: 0}];
+    const work = {get, values} as unknown as ReturnType<typeof report>;
+    paces.setReports('front-2', report({a: 30}));
+    paces.setReports('front-2', work);
+    assert.equal(estimate('a', 'b').size, 0);
+    assert.equal(lookups, 0);
+  });
+
+  it('ignores an absurd report, also where nothing else is known', () => {
+    const {paces, estimate} = createPaces();
+    paces.setReports('front-2', report({a: 4_000_000}));
+    assert.equal(estimate('a', 'b').size, 0);
+    paces.setReports('front-3', report({a: 30}));
+    assert.equal(estimate('a', 'b').get('b')?.milliseconds, 30);
+  });
+
   it('ranks fast and slow endpoints, and puts an unknown one between them', () => {
     const {sample, estimate} = createPaces();
     sample('fast', 28);
