Take all endpoints for cold at a gateway that has just started

Where a service has a cold rate, a gateway sends no more than its share for ColdStartS after its start.

The test 'in its first entries' fails without it; two tests of the stated time now set ColdStartS to 0, since they measure that time alone. Tests of cold endpoints pass.

--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -254,12 +254,11 @@
 
 function followEndpoints(options: FollowStoreOptions): TopicOptions {
   const {endpoints, endpointsRead, storeState, coldEndpoints} = options;
-  let hasReadAll = false;
   const recordEntries = (records: readonly KeyedRecord[]) =>
     records.forEach(({key}) => {
       const entry = endpoints.find(key);
       if (entry !== undefined) {
-        coldEndpoints.recordEntry(entry, !hasReadAll);
+        coldEndpoints.recordEntry(entry);
       }
     });
   return {
@@ -284,7 +283,6 @@
     onReadStart: () => {
       const confirm = endpointsRead.recordReadStart();
       return waitedMilliseconds => {
-        hasReadAll = true;
         endpoints.evictExpired();
         coldEndpoints.evictExpired(id => endpoints.find(id) !== undefined);
         options.onEndpointsRead();
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -195,7 +195,7 @@
         source,
       });
       if (source === 'peer') {
-        components.coldEndpoints.recordEntry(entry, false);
+        components.coldEndpoints.recordEntry(entry);
       }
       if (source === 'peer' || state.storeState.hasEndpoints) {
         components.loads.startRamp(entry);
--- a/packages/forwarding/src/cold_endpoints/cold_endpoints.test.ts
+++ b/packages/forwarding/src/cold_endpoints/cold_endpoints.test.ts
@@ -71,27 +71,37 @@
   describe('counts an endpoint as cold', () => {
     it('for the time after this gateway first saw it', () => {
       const {cold, state} = createColdEndpoints();
-      cold.recordEntry(ENTRY, false);
+      cold.recordEntry(ENTRY);
       state.now += COLD_START_MILLISECONDS - 1;
-      cold.recordEntry({...ENTRY, sequence: 2}, false);
+      cold.recordEntry({...ENTRY, sequence: 2});
       assert.equal(cold.isCold(ENTRY), true);
       state.now += 1;
       assert.equal(cold.isCold(ENTRY), false);
     });
 
-    it('again for a new incarnation', () => {
+    it('in its first entries, since an evacuation may have ended before', () => {
       const {cold, state} = createColdEndpoints();
-      cold.recordEntry(ENTRY, true);
+      cold.recordEntry(ENTRY);
+      assert.equal(cold.isCold(ENTRY), true);
+      state.now += COLD_START_MILLISECONDS;
       assert.equal(cold.isCold(ENTRY), false);
+    });
+
+    it('again for a new incarnation', () => {
+      const {cold, state} = createColdEndpoints();
+      cold.recordEntry(ENTRY);
       state.now += 60_000;
-      cold.recordEntry({...ENTRY, startedAt: 2}, false);
+      assert.equal(cold.isCold(ENTRY), false);
+      cold.recordEntry({...ENTRY, startedAt: 2});
       assert.equal(cold.isCold(ENTRY), true);
     });
 
-    it('for the time that its entry states, also in the first snapshot', () => {
-      const {cold, state} = createColdEndpoints();
+    it('for the time that its entry states', () => {
+      const {cold, state} = createColdEndpoints('front-1', {
+        coldStartMilliseconds: 0,
+      });
       const entry = {...ENTRY, coldMilliseconds: 2_000};
-      cold.recordEntry(entry, true);
+      cold.recordEntry(entry);
       state.now += 1_999;
       assert.equal(cold.isCold(entry), true);
       state.now += 1;
@@ -99,19 +109,22 @@
     });
 
     it('not again for an entry that is repeated', () => {
-      const {cold, state} = createColdEndpoints();
+      const {cold, state} = createColdEndpoints('front-1', {
+        coldStartMilliseconds: 0,
+      });
       const entry = {...ENTRY, coldMilliseconds: 2_000};
-      cold.recordEntry(entry, true);
+      cold.recordEntry(entry);
       state.now += 2_500;
-      cold.recordEntry({...entry, sequence: 2}, false);
+      cold.recordEntry({...entry, sequence: 2});
       assert.equal(cold.isCold(entry), false);
     });
 
     it('after the evacuation of its zone has ended', () => {
       const {cold, state} = createColdEndpoints();
-      cold.recordEntry(ENTRY, true);
+      cold.recordEntry(ENTRY);
       const other = createEntry('w', 'west-1');
-      cold.recordEntry(other, true);
+      cold.recordEntry(other);
+      state.now += COLD_START_MILLISECONDS;
       cold.recordRestored('east-1');
       assert.equal(cold.isCold(ENTRY), true);
       assert.equal(cold.isCold(other), false);
@@ -123,7 +136,7 @@
       const {cold} = createColdEndpoints('front-1', {
         coldRequestsPerSecond: undefined,
       });
-      cold.recordEntry({...ENTRY, coldMilliseconds: 5_000}, false);
+      cold.recordEntry({...ENTRY, coldMilliseconds: 5_000});
       assert.equal(cold.isCold(ENTRY), false);
       assert.equal(sendAll(cold, ENTRY), 1_000);
     });
@@ -132,7 +145,7 @@
       const {cold, state} = createColdEndpoints('front-1', {
         coldStartMilliseconds: 600_000,
       });
-      cold.recordEntry(ENTRY, false);
+      cold.recordEntry(ENTRY);
       state.now += 200_000;
       cold.evictExpired(() => true);
       assert.equal(cold.isCold(ENTRY), true);
@@ -144,7 +157,7 @@
   describe('limits the requests to a cold endpoint', () => {
     it('to its share in any 1,250 ms', () => {
       const {cold, state} = createColdEndpoints();
-      cold.recordEntry(ENTRY, false);
+      cold.recordEntry(ENTRY);
       assert.equal(sendAll(cold, ENTRY), RATE);
       state.now += 1_249;
       assert.equal(cold.hasCapacity(ENTRY), false);
@@ -157,7 +170,7 @@
       const {cold, state} = createColdEndpoints('front-1', {
         coldRequestsPerSecond: 2,
       });
-      cold.recordEntry(ENTRY, false);
+      cold.recordEntry(ENTRY);
       cold.recordSend(ENTRY);
       state.now += 500;
       cold.recordSend(ENTRY);
@@ -168,7 +181,7 @@
 
     it('not beyond the end of the cold time', () => {
       const {cold, state} = createColdEndpoints();
-      cold.recordEntry(ENTRY, false);
+      cold.recordEntry(ENTRY);
       state.now += COLD_START_MILLISECONDS - 100;
       sendAll(cold, ENTRY);
       assert.equal(cold.computeWaitMilliseconds(ENTRY), 100);
@@ -179,7 +192,7 @@
       const waits = names.map(name => {
         const {cold} = createColdEndpoints(name, {coldRequestsPerSecond: 1});
         cold.setGateways(names);
-        cold.recordEntry(ENTRY, false);
+        cold.recordEntry(ENTRY);
         return cold.computeWaitMilliseconds(ENTRY);
       });
       waits.sort((left, right) => left - right);
@@ -196,7 +209,7 @@
         {},
         {isRegistryRead: false},
       );
-      cold.recordEntry(ENTRY, false);
+      cold.recordEntry(ENTRY);
       assert.equal(sendAll(cold, ENTRY), 0);
       cold.setGateways([]);
       assert.equal(sendAll(cold, ENTRY), RATE);
@@ -205,7 +218,7 @@
     it('to a smaller share once more gateways report', () => {
       const reporting: string[] = [];
       const {cold} = createColdEndpoints('front-1', {}, {reporting});
-      cold.recordEntry(ENTRY, false);
+      cold.recordEntry(ENTRY);
       reporting.push('front-2', 'front-3', 'front-4');
       assert.equal(sendAll(cold, ENTRY), RATE / 4);
     });
@@ -219,7 +232,7 @@
         .map(name => {
           const {cold} = createColdEndpoints(name);
           cold.setGateways(listOf(name));
-          cold.recordEntry(ENTRY, false);
+          cold.recordEntry(ENTRY);
           return sendAll(cold, ENTRY);
         })
         .reduce((sum, sent) => sum + sent, 0);
@@ -253,8 +266,8 @@
 
   it('logs when an endpoint becomes cold and when that ends', () => {
     const {cold, state} = createColdEndpoints();
-    cold.recordEntry(ENTRY, false);
-    cold.recordEntry({...ENTRY, sequence: 2}, false);
+    cold.recordEntry(ENTRY);
+    cold.recordEntry({...ENTRY, sequence: 2});
     assert.deepEqual(state.logged, [
       {
         endpoint: 'e',
--- a/packages/forwarding/src/cold_endpoints/cold_endpoints.ts
+++ b/packages/forwarding/src/cold_endpoints/cold_endpoints.ts
@@ -78,13 +78,12 @@
 
   /**
    * Records an entry of an endpoint. An incarnation that was not known before is
-   * new.
+   * new, also in the first snapshot: a gateway that has just started cannot know
+   * of an evacuation that ended shortly before, which leaves endpoints cold.
    *
    * @param entry - The entry, as received now
-   * @param isInFirstSnapshot - True for the entries of the first snapshot, which
-   *   may have started long before
    */
-  recordEntry(entry: EndpointEntry, isInFirstSnapshot: boolean): void {
+  recordEntry(entry: EndpointEntry): void {
     const now = this.options.now();
     const before = this.known.get(entry.id);
     const wasCold = before !== undefined && this.computeEnd(before) > now;
@@ -93,7 +92,7 @@
       this.known.set(entry.id, {
         entry,
         recordedAt: now,
-        firstSeenAt: isInFirstSnapshot ? Number.NEGATIVE_INFINITY : now,
+        firstSeenAt: now,
         statedUntil,
         sentAt: [],
       });
