--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -6,40 +6,29 @@
   AwaitedRead,
   StalenessTracker,
   SuspicionTable,
-  keepRegistered,
   MONOTONIC_CLOCK,
   type EndpointEntry,
-  type LeavingReason,
 } from '@briarpin/coordination';
 import {
   ForwardingGateway,
   EvacuationTurn,
-  GatewayMesh,
+  type GatewayMesh,
   type ForwardingContext,
 } from '@briarpin/forwarding';
-import {
-  ENDPOINTS_TOPIC,
-  KeyedStore,
-  OPERATORS_TOPIC,
-  type InstanceSettings,
-} from '@briarpin/machines';
+import {KeyedStore, type InstanceSettings} from '@briarpin/machines';
 import {runTask, type EventLogger} from '@briarpin/telemetry';
 
 import {createConfigurationFreshness} from './create_configuration_freshness.js';
 import {createEvacuatedZones} from './create_evacuated_zones.js';
 import {createForwardingContext} from './create_forwarding_context.js';
+import {recordEndpointEnd} from './record_endpoint_end.js';
 import {createTelemetry} from './create_telemetry.js';
-import {
-  applyReport,
-  createReport,
-  evictSilentGateways,
-} from './exchange_reports.js';
-import {encodeGateway, followStore, GATEWAYS_TOPIC} from './follow_store.js';
+import {createMesh} from './create_mesh.js';
 import type {StoreState} from './follow_store.js';
 import type {MachineState} from './machine_state.js';
 import {ExpiringList} from './expiring_list.js';
 import {ObservedStore} from './observed_store.js';
-import {selectReadersOf} from './select_readers_of.js';
+import {startFollowingStore} from './start_following_store.js';
 import {startServers, type ServerPorts} from './start_servers.js';
 import {StoreCallLog} from './store_call_log.js';
 
@@ -176,7 +165,7 @@
       logger.info('endpoint_leaving', {endpoint: entry.id, reason});
       components.loads.removeAverages(entry.id);
       components.limits.remove(entry.id);
-      recordEnd(components.quarantine, entry, reason);
+      recordEndpointEnd(components.quarantine, entry, reason);
       // Each gateway reports only what it knows itself.
       if (reason !== 'told_by_peer') {
         const hasNotice = reason !== 'entry_removed';
@@ -272,78 +261,6 @@
   };
 }
 
-/** Components used by {@link startFollowingStore}. */
-interface StoreFollowingContext {
-  readonly state: MachineState;
-  readonly gateway: ForwardingGateway;
-  readonly mesh: GatewayMesh;
-  readonly meshPort: number;
-}
-
-/** Starts following the store and registers this gateway in it. */
-function startFollowingStore(
-  settings: InstanceSettings,
-  components: ForwardingContext,
-  {state, gateway, mesh, meshPort}: StoreFollowingContext,
-): void {
-  const {clock, random, logger, endpoints, retryBudgets, coldEndpoints} =
-    components;
-  const {store, configurationFreshness} = state;
-  const {instance, ip} = settings;
-  const {signal} = state.abortController;
-  runTask('configuration_freshness', logger, () =>
-    configurationFreshness.run(signal),
-  );
-  followStore({
-    store,
-    clock,
-    random,
-    logger,
-    signal,
-    storeState: state.storeState,
-    stalenessTracker: state.stalenessTracker,
-    configurationFreshness,
-    evacuatedZones: state.evacuatedZones,
-    endpoints,
-    coldEndpoints,
-    endpointsRead: state.endpointsRead,
-    isReadAwaited: () => state.endpointsRead.isAwaited,
-    bounds: settings.bounds,
-    suspicionTable: state.suspicionTable,
-    gateway: settings.instance,
-    isReader: () =>
-      selectReadersOf(ENDPOINTS_TOPIC, {mesh, store}).includes(instance),
-    receivedEndpointsAgeMilliseconds: () =>
-      mesh.computeReceivedEndpointsAgeMilliseconds(),
-    onEndpointsRead: () => (state.endpointsReadAt = clock.now()),
-    onConfiguration: configuration => {
-      gateway.applyLimits(configuration.limits);
-      if (selectReadersOf(OPERATORS_TOPIC, {mesh, store}).includes(instance)) {
-        mesh.broadcast();
-      }
-    },
-    onGateways: gateways => {
-      mesh.setPeers(gateways);
-      retryBudgets.setGatewayCount(gateways.length);
-      coldEndpoints.setGateways(gateways.map(({gateway: name}) => name));
-    },
-  });
-  const registration = encodeGateway({
-    gateway: instance,
-    host: ip,
-    port: meshPort,
-  });
-  runTask('registration', logger, () =>
-    keepRegistered(GATEWAYS_TOPIC, instance, registration, {
-      store,
-      clock,
-      random,
-      signal,
-      onFailure: message => logger.warn('registration_failed', {message}),
-    }),
-  );
-}
-
 function createGateway(
   settings: InstanceSettings,
   components: ForwardingContext,
@@ -362,58 +279,6 @@
   });
 }
 
-function createMesh(
-  settings: InstanceSettings,
-  components: ForwardingContext,
-  gateway: ForwardingGateway,
-  state: MachineState,
-): GatewayMesh {
-  const {clock, logger} = components;
-  const mesh: GatewayMesh = new GatewayMesh({
-    gateway: settings.instance,
-    host: settings.ip,
-    port: settings.internalPort ?? 0,
-    clock,
-    logger,
-    startedAt: Date.now(),
-    createReport: () => {
-      evictSilentGateways(mesh, components);
-      return createReport(gateway, components, state, clock.now());
-    },
-    onReport: report => {
-      applyReport(report, components, mesh, state);
-      if (report.isFirst) {
-        runTask('stream_origins', logger, () =>
-          components.streamOrigins.informNewGateway(report.gateway),
-        );
-      }
-    },
-    messageHandlers: {
-      streamOrigins: (message, reply) =>
-        components.streamOrigins.receive(message, reply),
-      freshness: (message, reply) =>
-        state.configurationFreshness.receive(message, reply),
-    },
-  });
-  return mesh;
-}
-
-/**
- * Records how an endpoint ended. A peer's report does not tell whether there was
- * a notice.
- */
-function recordEnd(
-  quarantine: ForwardingContext['quarantine'],
-  entry: EndpointEntry,
-  reason: LeavingReason,
-): void {
-  if (reason === 'draining' || reason === 'told_by_endpoint') {
-    quarantine.recordShutdown(entry);
-  } else if (reason !== 'told_by_peer') {
-    quarantine.recordCrash(entry);
-  }
-}
-
 /**
  * Moves runs from an endpoint that is shutting down, taking turns with the other
  * gateways. Broadcasts reports so that they can follow the progress.
