--- a/packages/scheduling/src/admission_request/admission_request.ts
+++ b/packages/scheduling/src/admission_request/admission_request.ts
@@ -46,7 +46,7 @@
 /**
  * Share of its output that a run holds on average over its time. The runs of an
  * engine are at different points, so that their memory is the sum of averages; the
- * sum of their final sizes left a sixth of the memory of busy engines unused.
+ * sum of their final sizes would leave memory unused while requests wait for it.
  */
 const MEAN_OUTPUT_SHARE = 0.5;
 
--- a/packages/scheduling/src/engine_admission/engine_admission.ts
+++ b/packages/scheduling/src/engine_admission/engine_admission.ts
@@ -145,7 +145,7 @@
         receivedTokens.set(organisation, received + computeCost(request));
       },
     });
-    rejections.push(...this.rejectHopeless(now));
+    rejections.push(...this.rejectUnservable(now));
     this.removeEmptyLanes();
     return {placements, rejections};
   }
@@ -223,7 +223,7 @@
   }
 
   /** Rejects the waiting requests that cannot end in their time. */
-  private rejectHopeless(now: number): AdmissionRejection[] {
+  private rejectUnservable(now: number): AdmissionRejection[] {
     const isPredicted = now >= this.nextPredictionAt;
     if (isPredicted) {
       this.nextPredictionAt = now + PREDICTION_INTERVAL_MILLISECONDS;
