--- a/review/stand_ins_2/server.mjs
+++ b/review/stand_ins_2/server.mjs
@@ -19,6 +19,9 @@
   callMilliseconds: 21,
   /** Time until a spoilt answer begins, in milliseconds. */
   spoiltMilliseconds: 300,
+  /** Time of a copy of a run, and of what it lacks, in milliseconds. */
+  copyMilliseconds: 100,
+  lastCopyMilliseconds: 30,
   /** `chunks`, or `connection`: neither a length nor chunks. */
   framing: 'chunks',
   ...JSON.parse(process.argv[2]),
@@ -48,6 +51,14 @@
 
 function answer(request, response, body) {
   const {headers} = request;
+  if (request.url === '/briarpin/kv-move') {
+    copyRun(response, JSON.parse(body.toString()));
+    return;
+  }
+  if (request.url.startsWith('/briarpin/kv-handle/')) {
+    response.end();
+    return;
+  }
   const id = headers['x-briarpin-request-id'];
   if (headers['x-briarpin-expect-instance'] !== options.id) {
     response.writeHead(421, {'X-Briarpin-Instance-Id': options.id});
@@ -59,6 +70,7 @@
     tenant: headers['x-briarpin-tenant'],
     path: request.url,
     lastEventId: headers['last-event-id'],
+    from: headers['kv-from'],
   };
   tell({kind: 'run', ...run});
   const answerHeaders = {
@@ -80,6 +92,38 @@
   sendStream(request, response, {answerHeaders, body});
 }
 
+/** Runs in progress, by request. */
+const runs = new Map();
+
+let copies = 0;
+
+/** Copies a run to another server; stops it first if the copy is the last. */
+function copyRun(response, {Id: id, Last: isLast = false}) {
+  const run = runs.get(id);
+  const reply = (status, body) => {
+    response.writeHead(status, {'Content-Type': 'application/json'});
+    response.end(JSON.stringify(body));
+  };
+  if (run === undefined) {
+    reply(404, {});
+    return;
+  }
+  if (run.handle === undefined) {
+    copies += 1;
+    run.handle = `h${copies}`;
+  }
+  if (isLast) {
+    // Stops the run, and closes its stream without its end.
+    runs.delete(id);
+    run.response.destroy();
+  }
+  tell({kind: 'copy', id, last: isLast});
+  setTimeout(
+    () => reply(200, {Handle: run.handle, CreateRev: run.piece}),
+    isLast ? options.lastCopyMilliseconds : options.copyMilliseconds,
+  );
+}
+
 function sendStream(request, response, {answerHeaders, body}) {
   if (spoiltAnswers > 0) {
     spoiltAnswers -= 1;
@@ -90,7 +134,9 @@
     return;
   }
   const {pieces} = JSON.parse(body.toString());
+  const id = request.headers['x-briarpin-request-id'];
   let piece = Number(request.headers['last-event-id'] ?? 0);
+  response.once('close', () => runs.delete(id));
   const next = () => {
     if (response.destroyed) {
       return;
@@ -104,10 +150,13 @@
       response.writeHead(200, head);
     }
     piece += 1;
+    runs.set(id, {handle: runs.get(id)?.handle, response, piece});
     response.write(
       `id: ${piece}\ndata: ${options.software} ${options.id} ${piece}\n\n`,
     );
     if (piece >= pieces) {
+      tell({kind: 'whole stream', id});
+      runs.delete(id);
       response.end();
       return;
     }
--- a/review/stand_ins_2/servers.mjs
+++ b/review/stand_ins_2/servers.mjs
@@ -64,6 +64,14 @@
     this.onEvent({server: server.id, kind: 'killed'});
   }
 
+  /** Lets a server leave without a notice: its entry goes, and it serves on. */
+  leaveSilently(server) {
+    server.isUp = false;
+    this.entries.delete(server.id);
+    this.store.put('keyed.servers', server.id);
+    this.onEvent({server: server.id, kind: 'entry removed'});
+  }
+
   async stop() {
     clearInterval(this.timer);
     for (const server of this.all) {
