Record every request of the second review's cases, and check their claims

Tried: logs of endpoints and configurations in the records; case 9 with chunks, and with a server that is cut off from the store; scripts that cannot start. Result: fuller records, no other change of a case.

--- a/review/stand_ins_2/client.mjs
+++ b/review/stand_ins_2/client.mjs
@@ -10,6 +10,13 @@
 
 let requestCount = 0;
 
+let observe = () => undefined;
+
+/** Sets what receives a line for each request and each answer. */
+export function observeRequests(callback) {
+  observe = callback;
+}
+
 /**
  * Sends a request and reads its answer.
  *
@@ -61,7 +68,14 @@
   result.done = new Promise(resolve => {
     const end = () => {
       clearTimeout(timer);
-      result.endedAt ??= performance.now();
+      if (result.endedAt === undefined) {
+        result.endedAt = performance.now();
+        const {id, status, isComplete, error} = result;
+        observe(
+          `client: ${id} got ${status}, ${result.body.length} bytes, complete ` +
+            `${isComplete}, ${error ?? 'no error'}`,
+        );
+      }
       resolve(result);
     };
     // The client waits as long as it has said.
@@ -85,6 +99,7 @@
       });
     });
   });
+  observe(`client: ${result.id} sent, ${method} ${path} to port ${port}`);
   request.end(body);
   return result;
 }
--- a/review/stand_ins_2/script.mjs
+++ b/review/stand_ins_2/script.mjs
@@ -7,6 +7,7 @@
 import {clearTimeout, setTimeout} from 'node:timers';
 import {fileURLToPath, URL} from 'node:url';
 
+import {observeRequests} from './client.mjs';
 import {Gateways} from './gateways.mjs';
 import {Servers} from './servers.mjs';
 import {Store} from './store.mjs';
@@ -34,12 +35,28 @@
   };
   const hasTrouble = process.env.TROUBLE !== '0';
   note(`trouble: ${hasTrouble ? 'yes' : 'no'}`);
+  observeRequests(note);
   const store = new Store();
+  let processes = () => [];
+  // What the script cannot handle is no broken rule.
+  const giveUp = error => {
+    process.stderr.write(`could not run: ${error?.stack ?? error}\n`);
+    processes().forEach(({child}) => child.kill('SIGKILL'));
+    process.exit(EXIT_NOT_RUN);
+  };
+  process.on('uncaughtException', giveUp);
+  process.on('unhandledRejection', giveUp);
+  process.on('SIGTERM', giveUp);
+  process.on('SIGINT', giveUp);
   await store.start();
   const gateways = new Gateways(store.port, (name, text) =>
     text
       .split('\n')
-      .filter(line => /level=(warn|error)|FATAL|Mark-Compact/.test(line))
+      .filter(line =>
+        /level=(warn|error)|event=(configuration|endpoint_\w+|leaving|ended) |FATAL/.test(
+          line,
+        ),
+      )
       .forEach(line => note(`log of ${name}: ${line.slice(0, 300)}`)),
   );
   const runs = [];
@@ -49,6 +66,7 @@
       runs.push({server, at: performance.now(), ...event});
     }
   });
+  processes = () => [...gateways.all, ...servers.all];
   let exitCode = EXIT_NOT_RUN;
   let timer;
   try {
