Count the pieces that a server sends, not only its bytes

Cause: the splitter took each blank line for an event: up to 65,536 for a block of 64 KB, each with a buffer, a write, a promise and two listeners; reading paused only after the block. All limits count bytes, the cost is in pieces. Change: the events of a chunk are written together; blank lines and comments are no events and are held with the next one; the chunks of one turn are handled as one; an event, a body, a stream's rate and all that precedes a body have a largest number of pieces or bytes. The same cause on related paths: chunks of a byte, events of a byte, blank lines before a head, informational heads and the digits of a chunk's length were read for as long as they came.

--- a/packages/forwarding/src/buffer_body/buffer_body.ts
+++ b/packages/forwarding/src/buffer_body/buffer_body.ts
@@ -3,12 +3,16 @@
  */
 import {GrowingBuffer} from '@briarpin/platform';
 
+import {collectChunks} from '../collect_chunks/collect_chunks.js';
 import type {AttemptResult} from '../endpoint_client/endpoint_client.js';
 import type {MemoryAccount} from '../memory_budget/memory_budget.js';
 
 /** Largest response body that is buffered before it is forwarded. */
 export const MAXIMUM_BUFFERED_BYTES = 4_194_304;
 
+/** Most chunks in which a buffered body arrives. */
+const MAXIMUM_BUFFERED_CHUNKS = 65_536;
+
 /** A complete body, or the reason why it is incomplete. */
 export type BufferedBody = (
   | {readonly kind: 'whole'; readonly body: Buffer}
@@ -62,13 +66,18 @@
         void granted.then(() => response.resume());
       }
     };
-    response.on('data', (chunk: Buffer) => {
-      if (body.length + chunk.length > MAXIMUM_BUFFERED_BYTES) {
+    let chunks = 0;
+    collectChunks(response, (bytes, chunkCount) => {
+      chunks += chunkCount;
+      if (
+        body.length + bytes.length > MAXIMUM_BUFFERED_BYTES ||
+        chunks > MAXIMUM_BUFFERED_CHUNKS
+      ) {
         fail('the answer is too large');
         response.destroy();
         return;
       }
-      body.append(chunk);
+      body.append(bytes);
       if (statedBytes === undefined) {
         hold(body.length, MAXIMUM_BUFFERED_BYTES);
       }
--- a/packages/forwarding/src/count_engine_work/count_engine_work.ts
+++ b/packages/forwarding/src/count_engine_work/count_engine_work.ts
@@ -16,8 +16,11 @@
 
 /** Handle of counted work, which counts until it is released. */
 export interface CountedWork {
-  /** Called for each event; the first event marks the end of the prefill. */
-  readonly recordEvent: () => void;
+  /**
+   * Called with the number of events that have arrived together; the first event
+   * marks the end of the prefill.
+   */
+  readonly recordEvents: (count: number) => void;
   /**
    * Called when reading pauses: the time to the next event then shows nothing of
    * the engine's pace.
@@ -76,7 +79,7 @@
     }
   };
   return {
-    recordEvent: () => {
+    recordEvents: count => {
       const now = clock.now();
       if (!isPrefilled && promptTokens > 0) {
         const milliseconds = now - sentAt;
@@ -86,9 +89,11 @@
         loads.recordServed(endpoint, {openRequests, isInTime});
       }
       completePrefill();
-      received.recordEvent();
-      if (eventAt !== undefined) {
-        loads.recordEvent(endpoint.id, now - eventAt);
+      received.recordEvents(count);
+      // No time ends with the first event of a run, or after a pause.
+      const samples = eventAt === undefined ? count - 1 : count;
+      if (samples > 0) {
+        loads.recordEvent(endpoint.id, now - (eventAt ?? now), samples);
       }
       eventAt = now;
     },
@@ -108,7 +113,7 @@
 
 /** Records what an organisation receives by a run. */
 interface ReceivedWork {
-  readonly recordEvent: () => void;
+  readonly recordEvents: (count: number) => void;
   /** Called at the end of the run with the time since it was sent. */
   readonly end: (milliseconds: number) => void;
 }
@@ -124,7 +129,7 @@
   promptTokens: number,
 ): ReceivedWork {
   if (!queuesForEngines()) {
-    return {recordEvent: () => undefined, end: () => undefined};
+    return {recordEvents: () => undefined, end: () => undefined};
   }
   const name = organisation?.name ?? 'public';
   const tokensPerEvent = service.engine?.tokensPerEvent ?? 1;
@@ -136,8 +141,8 @@
   };
   organisationWork.add(name, promptTokens);
   return {
-    recordEvent: () => {
-      events += 1;
+    recordEvents: count => {
+      events += count;
       if (events - countedEvents >= EVENTS_PER_COUNT) {
         countOutput();
       }
--- a/packages/forwarding/src/discard_body/discard_body.ts
+++ b/packages/forwarding/src/discard_body/discard_body.ts
@@ -3,6 +3,8 @@
  */
 import type {IncomingMessage} from 'node:http';
 
+import {collectChunks} from '../collect_chunks/collect_chunks.js';
+
 /**
  * Largest body that is read away so that its connection can be used again; a
  * new connection costs less than more bytes.
@@ -17,8 +19,8 @@
  */
 export function discardBody(response: IncomingMessage): void {
   let size = 0;
-  response.on('data', (chunk: Buffer) => {
-    size += chunk.length;
+  collectChunks(response, bytes => {
+    size += bytes.length;
     if (size > MAXIMUM_DISCARDED_BYTES) {
       response.destroy();
     }
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -14,6 +14,7 @@
 import {discardBody} from '../discard_body/discard_body.js';
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {ResponseMetadata, Dialect} from '../dialect/dialect.js';
+import {limitHeadBytes} from '../limit_head_bytes/limit_head_bytes.js';
 import {
   PreconnectingAgent,
   type ConnectionTarget,
@@ -31,6 +32,9 @@
 /** Limit of the status line and headers of a response. */
 const MAXIMUM_HEADER_BYTES = 65_536;
 
+/** Limit of all that precedes the body, with informational responses. */
+const MAXIMUM_HEAD_BYTES = 2 * MAXIMUM_HEADER_BYTES;
+
 /**
  * Statuses that usually mean that a request did not run. Without an explicit
  * header of the endpoint to that effect they do not prove it, and the outcome
@@ -129,6 +133,7 @@
       }
       this.limits.recordRequest(attempt.endpoint.id);
       this.callbacks.onSend(attempt.endpoint);
+      limitHeadBytes(request, MAXIMUM_HEAD_BYTES);
       trackConnection(request, progress, () => this.isPaused(attempt));
       request.on('error', fail);
       request.on('response', response => {
--- a/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
+++ b/packages/forwarding/src/endpoint_loads/endpoint_loads.ts
@@ -130,15 +130,16 @@
   }
 
   /**
-   * Records the time between two events of a generation.
+   * Records the time to the next events of a generation.
    *
    * @param endpointId - Engine
    * @param milliseconds - Time since the previous event
+   * @param count - Number of events that have arrived together
    */
-  recordEvent(endpointId: string, milliseconds: number): void {
+  recordEvent(endpointId: string, milliseconds: number, count = 1): void {
     const {requests} = this.work.sum(endpointId);
     const slowdown = computeBatchSlowdown(requests);
-    this.paces.recordSample(endpointId, milliseconds, slowdown);
+    this.paces.recordSample(endpointId, milliseconds, slowdown, count);
   }
 
   /** Records the load that an endpoint states in a response. */
--- a/packages/forwarding/src/endpoint_paces/endpoint_paces.ts
+++ b/packages/forwarding/src/endpoint_paces/endpoint_paces.ts
@@ -114,15 +114,17 @@
    * @param endpointId - Endpoint
    * @param milliseconds - Time between two events, or time of a call
    * @param slowdown - Factor by which its load is expected to slow it down
+   * @param count - Number of events that ended the time together
    */
   recordSample(
     endpointId: string,
     milliseconds: number,
     slowdown: number,
+    count = 1,
   ): void {
     this.tracked
       .get(endpointId)
-      ?.estimator.recordSample({milliseconds, slowdown});
+      ?.estimator.recordSample({milliseconds, slowdown, count});
   }
 
   /**
--- a/packages/forwarding/src/endpoint_stream/endpoint_stream.test.ts
+++ b/packages/forwarding/src/endpoint_stream/endpoint_stream.test.ts
@@ -19,7 +19,7 @@
 
 const settle = () => new Promise(resolve => setImmediate(resolve));
 
-function createStream(onEvent: () => Promise<void> | undefined) {
+function createStream(onEvents: () => Promise<void> | undefined) {
   const source = new PassThrough({highWaterMark: BUDGET_BYTES});
   const headers = {'content-type': 'text/event-stream'};
   const budget = new MemoryBudget(BUDGET_BYTES);
@@ -28,11 +28,12 @@
     endpoint: {id: 'a'} as EndpointEntry,
     response: Object.assign(source, {headers}) as unknown as IncomingMessage,
     framing: 'chunks',
+    clock: performance,
     confirmEnd: () => Promise.resolve(true),
     abort: () => source.destroy(),
     releaseLoad: () => undefined,
     memory: budget.openAccount(),
-    onEvent,
+    onEvents,
     onPause: () => {
       counts.pauses += 1;
     },
--- a/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
+++ b/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
@@ -3,20 +3,28 @@
  */
 import type {IncomingMessage} from 'node:http';
 
-import type {EndpointEntry} from '@briarpin/coordination';
+import type {Clock, EndpointEntry} from '@briarpin/coordination';
 import type {BodyFraming} from '@briarpin/platform';
 
 import {MAXIMUM_BUFFERED_BYTES} from '../buffer_body/buffer_body.js';
+import {collectChunks} from '../collect_chunks/collect_chunks.js';
 import {
   EventSplitter,
-  type RawEvent,
+  type EventBatch,
 } from '../event_splitter/event_splitter.js';
 import type {MemoryAccount} from '../memory_budget/memory_budget.js';
 import {isEventStream} from '../open_result/open_result.js';
+import {PieceRate} from '../piece_rate/piece_rate.js';
 
-/** Longest event that is collected before it is forwarded. */
+/**
+ * Longest event that is collected before it is forwarded, with the bytes before
+ * it that are none.
+ */
 const MAXIMUM_EVENT_BYTES = 1_048_576;
 
+/** Most chunks in which an event arrives. */
+const MAXIMUM_EVENT_CHUNKS = 16_384;
+
 /** How an endpoint's stream ended. */
 export type EndpointStreamEnd =
   /** The stream is complete; `remainder` follows the last blank line. */
@@ -31,6 +39,7 @@
   readonly endpoint: EndpointEntry;
   readonly response: IncomingMessage;
   readonly framing: BodyFraming;
+  readonly clock: Pick<Clock, 'now'>;
   /** Finds out, after the last byte of the body, whether it is complete. */
   readonly confirmEnd: () => Promise<boolean>;
   /** Closes the connection to the endpoint. */
@@ -47,11 +56,11 @@
   /** Longest pause between chunks; without it there is no limit. */
   readonly idleTimeoutMilliseconds?: number;
   /**
-   * Handles an event.
+   * Handles the events that have arrived together.
    *
    * @returns A promise if reading must pause until it resolves
    */
-  readonly onEvent: (event: RawEvent) => Promise<void> | undefined;
+  readonly onEvents: (batch: EventBatch) => Promise<void> | undefined;
   /**
    * Called when reading pauses, for the caller or for lack of memory: the time to
    * the next event then shows nothing of the endpoint's pace.
@@ -64,11 +73,14 @@
   readonly endpoint: EndpointEntry;
   readonly checkpointHolder?: EndpointEntry;
   private readonly splitter = new EventSplitter();
+  private readonly pieceRate: PieceRate;
   private idleTimer: NodeJS.Timeout | undefined;
   private resolveEnd: ((end: EndpointStreamEnd) => void) | undefined;
   private isStopped = false;
   private hasEnded = false;
   private eventCount = 0;
+  /** Number of chunks since the last complete event. */
+  private unfinishedChunks = 0;
   /** Number of promises that reading waits for. */
   private openPauses = 0;
   private hasPaused = false;
@@ -79,6 +91,7 @@
   constructor(private readonly options: EndpointStreamOptions) {
     this.endpoint = options.endpoint;
     this.checkpointHolder = options.checkpointHolder;
+    this.pieceRate = new PieceRate(options.clock);
   }
 
   /**
@@ -100,7 +113,9 @@
         }
         resolve(end);
       };
-      response.on('data', (chunk: Buffer) => this.handleChunk(chunk));
+      collectChunks(response, (bytes, chunkCount) =>
+        this.handleBytes(bytes, chunkCount),
+      );
       response.on('end', () => {
         this.hasEnded = true;
         void this.classifyEnd().then(end => this.resolveEnd?.(end));
@@ -168,21 +183,35 @@
       : {kind: 'broken', reason: 'the stream broke off'};
   }
 
-  private handleChunk(chunk: Buffer): void {
+  private handleBytes(bytes: Buffer, chunkCount: number): void {
     if (this.isStopped) {
       return;
     }
     this.restartIdleTimer();
-    for (const event of this.splitter.push(chunk)) {
-      if (this.isStopped) {
-        return;
-      }
-      this.eventCount += 1;
-      this.pauseUntil(this.options.onEvent(event));
+    const batch = this.splitter.push(bytes);
+    if (this.pieceRate.record(chunkCount + (batch?.eventCount ?? 0))) {
+      this.stop('more events arrive than an endpoint makes');
+      return;
     }
+    if (batch !== undefined) {
+      this.pauseUntil(this.options.onEvents(batch));
+      this.eventCount += batch.eventCount;
+    }
+    this.unfinishedChunks =
+      batch === undefined ? this.unfinishedChunks + chunkCount : 0;
+    this.holdUnfinished();
+  }
+
+  /** Holds the memory of an unfinished event, or breaks off one without end. */
+  private holdUnfinished(): void {
     const {unfinishedBytes, maximumUnfinishedBytes} = this;
-    if (unfinishedBytes > maximumUnfinishedBytes) {
+    if (
+      unfinishedBytes > maximumUnfinishedBytes ||
+      this.unfinishedChunks > MAXIMUM_EVENT_CHUNKS
+    ) {
       this.stop('an event is too large');
+    }
+    if (this.isStopped) {
       return;
     }
     this.pauseUntil(
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -419,21 +419,22 @@
       endpoint,
       response: result.response,
       framing: result.framing,
+      clock: context.clock,
       confirmEnd: result.confirmEnd,
       abort: () => controller.abort(),
       checkpointHolder: holder,
       releaseLoad: countedWork.release,
       memory: exchange.memory,
-      onEvent: event => {
-        countedWork.recordEvent();
+      onEvents: batch => {
+        countedWork.recordEvents(batch.eventCount);
         if (
-          stream.receivedEvents === 1 &&
+          stream.receivedEvents === 0 &&
           !pinStreamOrigin(exchange, context, endpoint)
         ) {
           stream.stop('the endpoint came back with other software');
           return undefined;
         }
-        return this.writer.write(event);
+        return this.writer.write(batch);
       },
       onPause: countedWork.recordPause,
     });
--- a/packages/forwarding/src/stream_writer/stream_writer.test.ts
+++ b/packages/forwarding/src/stream_writer/stream_writer.test.ts
@@ -12,7 +12,7 @@
 import {MemoryBudget} from '../memory_budget/memory_budget.js';
 import {StreamWriter} from '../stream_writer/stream_writer.js';
 
-const EVENT = {bytes: Buffer.from('data: a\n\n'), id: undefined};
+const EVENT = {bytes: Buffer.from('data: a\n\n'), eventCount: 1};
 
 /** Response of a caller that has stopped reading. */
 class FullResponse extends EventEmitter {
--- a/packages/forwarding/src/stream_writer/stream_writer.ts
+++ b/packages/forwarding/src/stream_writer/stream_writer.ts
@@ -3,7 +3,7 @@
  */
 import type {IncomingMessage} from 'node:http';
 
-import type {RawEvent} from '../event_splitter/event_splitter.js';
+import type {EventBatch} from '../event_splitter/event_splitter.js';
 import {
   closesConnection,
   type Exchange,
@@ -54,20 +54,20 @@
   }
 
   /**
-   * Writes an event.
+   * Writes events.
    *
    * @returns A promise if the caller's socket buffer is full; it resolves when
    *   the buffer has drained or the connection has closed
    */
-  write(event: RawEvent): Promise<void> | undefined {
+  write(batch: EventBatch): Promise<void> | undefined {
     const {response} = this.exchange;
     if (response.destroyed) {
       return undefined;
     }
     this.writeHead();
-    this.eventCount += 1;
-    this.newestEventId = event.id ?? this.newestEventId;
-    const isDrained = response.write(event.bytes);
+    this.eventCount += batch.eventCount;
+    this.newestEventId = batch.lastId ?? this.newestEventId;
+    const isDrained = response.write(batch.bytes);
     this.countUnsentBytes();
     if (isDrained) {
       return undefined;
--- a/packages/scheduling/src/pace_estimator/pace_estimator.ts
+++ b/packages/scheduling/src/pace_estimator/pace_estimator.ts
@@ -74,6 +74,11 @@
    * than without load; 1 without load.
    */
   readonly slowdown: number;
+  /**
+   * Number of events that ended the time together, which share it as one sample
+   * each; 1 by default.
+   */
+  readonly count?: number;
 }
 
 /** What is known of the endpoint from elsewhere. */
@@ -134,7 +139,7 @@
   }
 
   /** Records a sample that ends now; an implausible one is ignored. */
-  recordSample({milliseconds, slowdown}: PaceSample): void {
+  recordSample({milliseconds, slowdown, count = 1}: PaceSample): void {
     if (!(
       milliseconds >= 0 && milliseconds <= MAXIMUM_PLAUSIBLE_MILLISECONDS
     )) {
@@ -145,7 +150,7 @@
     const limit = (this.computeMedian() ?? usual) * MAXIMUM_SAMPLE_RATIO;
     const interval = this.openInterval(now);
     interval.totalMilliseconds += Math.min(limit, usual);
-    interval.samples += 1;
+    interval.samples += count;
     this.sampledAt = now;
   }
 
--- a/packages/stand_ins/src/pace/simulate_paced_fleet.ts
+++ b/packages/stand_ins/src/pace/simulate_paced_fleet.ts
@@ -219,7 +219,7 @@
           context.loads.recordLoad(entry.id, this.stateLoad(engine));
         }
         events.push(this.now);
-        work.recordEvent();
+        work.recordEvents(1);
       },
       onEnd: record,
     });
