Take an endpoint for ended by proof, not because its entry is gone

Cause: CrashQuarantine.hasEnded answered "ended" for ten seconds after an entry was removed, without a look at the server: a suspicion, good enough to count crashes, was used as a proof. Evidence: the record of the case has endpoint_leaving reason=entry_removed 0.4 s before the streams end in order, and no connection of a probe arrives at the server. Ruled out: streams that are stopped at the removal (all pieces arrive). Change: EndpointEnds decides by a listener at the address and by later incarnations; an entry that is gone counts only with a host that does not answer; a late entry of an earlier incarnation proves nothing. The quarantine learns of the ends that are found. Why it works: each way by which an entry goes leads to the same look at the server.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -16,6 +16,7 @@
 export * from './follow_log/follow_log.js';
 export * from './freshness_exchange/freshness_exchange.js';
 export * from './in_memory_log/in_memory_log.js';
+export * from './is_later_incarnation/is_later_incarnation.js';
 export * from './keep_registered/keep_registered.js';
 export * from './keeper_selector/keeper_selector.js';
 export * from './membership_view/membership_view.js';
--- a/packages/daemon/src/machine/create_forwarding_context.ts
+++ b/packages/daemon/src/machine/create_forwarding_context.ts
@@ -13,6 +13,7 @@
   CrashQuarantine,
   EndpointClient,
   EndpointEligibility,
+  EndpointEnds,
   EndpointLimits,
   EndpointLoads,
   EngineQueue,
@@ -97,6 +98,11 @@
     logger,
     onSuspicion,
   });
+  const endpointEnds = new EndpointEnds({
+    endpoints,
+    probeListener,
+    onEnded: endpoint => quarantine.recordEnd(endpoint),
+  });
   const coldEndpoints = new ColdEndpoints({
     gateway: settings.instance,
     findReportingGateways: reachableGateways,
@@ -111,7 +117,7 @@
   return {
     dialect,
     client: new EndpointClient(dialect, limits, {
-      hasEnded: endpoint => quarantine.hasEnded(endpoint),
+      hasEnded: endpoint => endpointEnds.hasEnded(endpoint),
       onLeaving: endpoint => endpoints.markDrainingFromResponse(endpoint),
       onSend: endpoint => coldEndpoints.recordSend(endpoint),
     }),
--- a/packages/forwarding/src/crash_quarantine/crash_quarantine.ts
+++ b/packages/forwarding/src/crash_quarantine/crash_quarantine.ts
@@ -97,7 +97,7 @@
 export class CrashQuarantine {
   /** Interrupted attempts by incarnation whose endpoint may have crashed. */
   private readonly interrupted = new Map<string, InterruptedAttempt[]>();
-  /** Incarnations that ended without a notice, and when that was found. */
+  /** Incarnations that seem to have crashed, and when that was found. */
   private readonly crashed = new Map<string, number>();
   private readonly probedIncarnations = new Set<string>();
   /** Requests that run although they would be refused. */
@@ -197,29 +197,19 @@
   }
 
   /**
-   * Finds out whether an endpoint has ended, so that its open connections were
-   * closed whatever it still had to send: after a crash, or after a shutdown that
-   * it had announced.
-   *
-   * @param endpoint - Endpoint whose connection has just been closed in order
-   * @returns True when it has ended; false when it has not, or nothing shows it
+   * Records that an endpoint was found to have ended; a crash unless it had
+   * announced its shutdown.
    */
-  async hasEnded(endpoint: EndpointEntry): Promise<boolean> {
-    const incarnation = toIncarnationName(endpoint);
-    if (this.crashed.has(incarnation)) {
-      return true;
-    }
-    const state = await this.options.probeListener(endpoint);
-    if (state !== 'not_listening') {
-      return this.crashed.has(incarnation);
-    }
+  recordEnd(endpoint: EndpointEntry): void {
     if (this.isReady(endpoint)) {
       this.recordCrash(endpoint);
     }
-    return true;
   }
 
-  /** Records that an incarnation has ended without a shutdown notice. */
+  /**
+   * Records that an incarnation has ended without a shutdown notice, or seems to
+   * have, as its entry is gone.
+   */
   recordCrash(endpoint: EndpointIncarnation): void {
     const incarnation = toIncarnationName(endpoint);
     this.crashed.set(incarnation, this.options.now());
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -176,6 +176,14 @@
     to: 'false',
     test: 'machine/unframed_answers',
   },
+  {
+    promise: 'a whole answer without a length reaches its caller',
+    mechanism: 'an entry that is gone does not prove the end of its endpoint',
+    file: 'packages/forwarding/dist/endpoint_ends/endpoint_ends.js',
+    from: "(state === 'undecided' && this.isGone(endpoint))",
+    to: 'this.isGone(endpoint)',
+    test: 'machine/unframed_answers',
+  },
   {
     promise: 'a response of one server delays no other request',
     mechanism: 'an event that does not end is broken off',
