Take a response with an odd status for no answer

Cause: the parser of Node takes any three digits for a status, and nothing asked whether an answer can have that one. Ruled out: statuses of another shape (20, 0200, -200, abc, none) are parser errors, 502. Change: a status that is not between 200 and 599 is an unknown outcome; what such a response says of itself is not believed.

--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -35,6 +35,10 @@
 /** Limit of all that precedes the body, with informational responses. */
 const MAXIMUM_HEAD_BYTES = 2 * MAXIMUM_HEADER_BYTES;
 
+/** Statuses that a final response can have, from the first to the last. */
+const FIRST_FINAL_STATUS = 200;
+const LAST_FINAL_STATUS = 599;
+
 /**
  * Statuses that usually mean that a request did not run. Without an explicit
  * header of the endpoint to that effect they do not prove it, and the outcome
@@ -198,6 +202,10 @@
     const metadata = this.dialect.readResponse(response);
     const status = response.statusCode ?? 0;
     response.on('error', () => undefined);
+    if (status < FIRST_FINAL_STATUS || status > LAST_FINAL_STATUS) {
+      request.destroy();
+      return {kind: 'unknown', reason: `no answer has status ${status}`};
+    }
     // On a used connection, a refusal that names no request may be a repetition
     // of an earlier one.
     const matchesRequest =
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -184,6 +184,14 @@
     to: 'this.isGone(endpoint)',
     test: 'machine/unframed_answers',
   },
+  {
+    promise: 'callers get answers only',
+    mechanism: 'a response with an odd status is no answer',
+    file: 'packages/forwarding/dist/endpoint_client/endpoint_client.js',
+    from: 'status < FIRST_FINAL_STATUS || status > LAST_FINAL_STATUS',
+    to: 'false',
+    test: 'machine/odd_statuses',
+  },
   {
     promise: 'a response of one server delays no other request',
     mechanism: 'an event that does not end is broken off',
