Take a late stream at a stopping gateway only if it must end in time

Cause: a late stream was taken if three times the usual time of its kind was left; the length of a generation is not known, and no failure can take the place of the rest. Ruled out: calls; what has no answer half a second before the end gets a failure. Change: a late stream needs its deadline or its route's timeout within the time of the answers; it is late from 250 ms before the deregistration on. Test that changed: a late stream of 900 ms with 2.5 s left is now decided by its limit; the case that rejects it is kept, with a shorter usual time.

--- a/packages/forwarding/src/last_requests/last_requests.ts
+++ b/packages/forwarding/src/last_requests/last_requests.ts
@@ -8,6 +8,12 @@
 import type {ErrorResponse} from '../error_response/error_response.js';
 import type {ForwardingContext} from '../exchange/exchange.js';
 
+/**
+ * Time before the deregistration from which on streams are late: callers may have
+ * counted it from a moment at which this process did not yet know of its end.
+ */
+const LATE_MILLISECONDS = 250;
+
 /** Time from the end of a process until its successor serves. */
 const RESTART_MILLISECONDS = 1_500;
 
@@ -38,9 +44,14 @@
       !shutdown.hasBegun ||
       decideLastRequest({
         expectedMilliseconds: durations.estimate({route, metadata}),
+        limitMilliseconds: Math.min(
+          route.timeoutMilliseconds,
+          metadata.deadlineMilliseconds ?? Number.POSITIVE_INFINITY,
+        ),
         remainingMilliseconds: shutdown.remainingAnswerMilliseconds,
         isLateStream:
-          route.isStream && shutdown.remainingDeregistrationMilliseconds <= 0,
+          route.isStream &&
+          shutdown.remainingDeregistrationMilliseconds <= LATE_MILLISECONDS,
       })
     );
   }
--- a/packages/scheduling/src/decide_last_request/decide_last_request.test.ts
+++ b/packages/scheduling/src/decide_last_request/decide_last_request.test.ts
@@ -11,6 +11,7 @@
     assert.equal(
       decideLastRequest({
         expectedMilliseconds: 900,
+        limitMilliseconds: 60_000,
         remainingMilliseconds: 7_000,
         isLateStream: false,
       }),
@@ -22,6 +23,7 @@
     assert.equal(
       decideLastRequest({
         expectedMilliseconds: 900,
+        limitMilliseconds: 60_000,
         remainingMilliseconds: 900,
         isLateStream: false,
       }),
@@ -33,6 +35,7 @@
     assert.equal(
       decideLastRequest({
         expectedMilliseconds: 0,
+        limitMilliseconds: 60_000,
         remainingMilliseconds: 0,
         isLateStream: false,
       }),
@@ -41,15 +44,32 @@
   });
 
   it('rejects a late stream that may take longer than expected', () => {
-    const request = {expectedMilliseconds: 900, remainingMilliseconds: 2_500};
+    const request = {
+      expectedMilliseconds: 100,
+      limitMilliseconds: 6_000,
+      remainingMilliseconds: 4_500,
+    };
     assert.equal(decideLastRequest({...request, isLateStream: true}), false);
     assert.equal(decideLastRequest({...request, isLateStream: false}), true);
   });
 
+  it('serves a late stream that ends in any case, by its deadline', () => {
+    assert.equal(
+      decideLastRequest({
+        expectedMilliseconds: 900,
+        limitMilliseconds: 1_000,
+        remainingMilliseconds: 1_100,
+        isLateStream: true,
+      }),
+      true,
+    );
+  });
+
   it('serves everything while no end is planned', () => {
     assert.equal(
       decideLastRequest({
         expectedMilliseconds: 60_000,
+        limitMilliseconds: 60_000,
         remainingMilliseconds: Number.POSITIVE_INFINITY,
         isLateStream: false,
       }),
--- a/packages/scheduling/src/decide_last_request/decide_last_request.ts
+++ b/packages/scheduling/src/decide_last_request/decide_last_request.ts
@@ -8,42 +8,40 @@
  */
 const MARGIN_MILLISECONDS = 30;
 
-/**
- * Factor of the expected time of a stream that comes when callers should have
- * gone elsewhere: once it has begun, no failure can take its place.
- */
-const LATE_STREAM_FACTOR = 3;
-
 /** A request at an instance that shuts down. */
 export interface LastRequest {
   /** Time within which nearly all requests of its kind end. */
   readonly expectedMilliseconds: number;
+  /** Time after which the request ends in any case, by its deadline. */
+  readonly limitMilliseconds: number;
   /** Time until every request must be answered. */
   readonly remainingMilliseconds: number;
   /**
-   * True for a stream that comes after the platform should have deregistered
-   * the instance.
+   * True for a stream that comes when callers should have gone elsewhere. Once it
+   * has begun, no failure can take its place; only its limit is certain then.
    */
   readonly isLateStream: boolean;
 }
 
 /**
  * Decides whether a request is served or rejected as not run. One that is served
- * ends, with high probability, before the instance does.
+ * ends, with high probability, before the instance does; a late stream certainly.
  *
- * @param request - Expected and remaining time
+ * @param request - Expected, longest and remaining time
  * @returns True when the request is served
  *
  * @example
- * decideLastRequest({expectedMilliseconds: 900, remainingMilliseconds: 800,
- *   isLateStream: false}); //=> false
+ * decideLastRequest({expectedMilliseconds: 900, limitMilliseconds: 6_000,
+ *   remainingMilliseconds: 800, isLateStream: false}); //=> false
  */
 export function decideLastRequest({
   expectedMilliseconds,
+  limitMilliseconds,
   remainingMilliseconds,
   isLateStream,
 }: LastRequest): boolean {
-  const factor = isLateStream ? LATE_STREAM_FACTOR : 1;
-  const neededMilliseconds = factor * expectedMilliseconds;
+  const neededMilliseconds = isLateStream
+    ? limitMilliseconds
+    : expectedMilliseconds;
   return neededMilliseconds + MARGIN_MILLISECONDS <= remainingMilliseconds;
 }
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -184,6 +184,14 @@
     to: 'this.isGone(endpoint)',
     test: 'machine/unframed_answers',
   },
+  {
+    promise: 'what a stopping gateway takes is answered',
+    mechanism: 'a late stream is taken only if its limit ends it in time',
+    file: 'packages/scheduling/dist/decide_last_request/decide_last_request.js',
+    from: '? limitMilliseconds',
+    to: '? 3 * expectedMilliseconds',
+    test: 'machine/late_streams',
+  },
   {
     promise: 'callers get answers only',
     mechanism: 'a response with an odd status is no answer',
