Trust a restored store for keys only after word of the other gateways

Cause: each answered read of the configuration confirmed the copy, also when peers had reported a newer version, and a gateway that has just started had heard of nothing yet. Evidence: the record has configuration version=7 at the restarted gateway while the three others report 9 several times a second. Ruled out: a copy that peers confirm (they have 9, and confirm only what is as new). Change: FreshnessExchange confirms only while nobody has reported a newer version; in an era above 1 a started gateway waits for the reports of all that it knows, a second at most; reads that confirm nothing are 150 ms apart and logged.

--- a/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
+++ b/packages/coordination/src/follow_keyed_topic/follow_keyed_topic.ts
@@ -98,10 +98,13 @@
   /**
    * Called before each read. The returned function is called when everything that
    * was written before the read has been applied, with the time that the store
-   * waited without a new record, in milliseconds; not after a page that more
-   * records follow.
+   * waited without a new record, in milliseconds, and the era of the store; not
+   * after a page that more records follow.
    */
-  readonly onReadStart: () => (waitedMilliseconds: number) => void;
+  readonly onReadStart: () => (
+    waitedMilliseconds: number,
+    era: number | undefined,
+  ) => void;
   /**
    * Called before the first snapshot after the store has returned from an older
    * copy, which may lack records that were already read.
@@ -186,7 +189,7 @@
       continue;
     }
     const isEmpty = page.records.length === 0;
-    confirm(isEmpty && !isSnapshot ? waitMilliseconds : 0);
+    confirm(isEmpty && !isSnapshot ? waitMilliseconds : 0, era);
     await options.waitForNextRead(signal, !isEmpty);
   }
 }
--- a/packages/coordination/src/freshness_exchange/freshness_exchange.ts
+++ b/packages/coordination/src/freshness_exchange/freshness_exchange.ts
@@ -25,6 +25,18 @@
 const QUESTION_SHARE = 0.2;
 const MAXIMUM_AGE_SHARE = 0.5;
 
+/**
+ * Time after the start for which a store that has returned from a copy is not
+ * trusted, unless all other processes have been heard: they may know of more.
+ */
+const DISTRUST_MILLISECONDS = 1_000;
+
+/** Era of a store that has never returned from a copy. */
+const FIRST_STORE_ERA = 1;
+
+/** Reads without a confirmation after which the next one waits. */
+const MAXIMUM_UNCONFIRMED_READS = 2;
+
 /** Values of an identifier of a question. */
 const QUESTION_IDENTIFIERS = 2 ** 48;
 
@@ -50,12 +62,24 @@
   readonly findReaders: () => readonly string[];
   /** Sends a message, which may be lost. */
   readonly sendMessage: (process: string, message: Uint8Array) => void;
+  /** Returns true once every other process that is known has been heard. */
+  readonly hasHeardAllOthers: () => boolean;
+  /** Called when the store lacks a version that another process has read. */
+  readonly onStoreBehind: (newestVersion: number) => void;
   /** Called when an answer has confirmed that the own copy is current. */
   readonly onConfirmed: () => void;
   /** Called for a message that cannot be decoded. */
   readonly onMalformed: (reason: string) => void;
 }
 
+/** A read of the topic that has returned. */
+export interface CompletedRead {
+  /** Time up to which it proves the state of the store. */
+  readonly stateAt: number;
+  /** Rises each time the store returns from a copy; optional. */
+  readonly era?: number;
+}
+
 /**
  * Lets a few processes read a topic, while all others ask them how recent their
  * common version is. A process reads the topic itself when it hears of a newer
@@ -75,6 +99,14 @@
   private readonly askedAt = new Map<number, number>();
   /** Newest version heard of since the last read began. */
   private heardVersion = Number.NEGATIVE_INFINITY;
+  /** Newest version ever heard of. */
+  private newestVersion = Number.NEGATIVE_INFINITY;
+  /** Read whose confirmation waits for word of the other processes. */
+  private waitingRead: CompletedRead | undefined;
+  /** Reads in a row that have confirmed nothing yet. */
+  private unconfirmedReads = 0;
+  private hasConfirmed = false;
+  private readonly startedAt: number;
   /** True if an answer has named other zones since the last read began. */
   private hasHeardOfOtherZones = false;
   /** Last question whose answer was recent enough to confirm the own copy. */
@@ -88,6 +120,7 @@
    * @param options - Own copy, readers and messages
    */
   constructor(private readonly options: FreshnessExchangeOptions) {
+    this.startedAt = options.clock.now();
     this.answerSleep = new WakeableSleep(options.clock);
     this.readSleep = new WakeableSleep(options.clock);
   }
@@ -132,8 +165,26 @@
     this.hasHeardOfOtherZones = false;
   }
 
+  /**
+   * Records a read that has returned and been applied. It confirms the own copy
+   * unless another process has read a newer version: the store has then returned
+   * from a copy and lacks what it had acknowledged. A process that has just
+   * started asks itself whether others have, and waits for word of them.
+   */
+  recordRead(read: CompletedRead): void {
+    this.waitingRead = read;
+    this.unconfirmedReads += 1;
+    this.confirmWaitingRead();
+    if (this.unconfirmedReads === MAXIMUM_UNCONFIRMED_READS) {
+      this.options.onStoreBehind(this.newestVersion);
+    }
+  }
+
   /** Waits until this process should read the topic. */
   async waitForNextRead(signal: AbortSignal): Promise<void> {
+    if (this.unconfirmedReads >= MAXIMUM_UNCONFIRMED_READS) {
+      await this.options.clock.sleep(ANSWER_TIMEOUT_MILLISECONDS, signal);
+    }
     while (!signal.aborted && !this.needsRead()) {
       const remaining = this.maximumAge - this.ageMilliseconds;
       await this.readSleep.sleep(
@@ -146,6 +197,8 @@
   /** Records a version that another process has read. */
   recordVersion(version: number): void {
     this.heardVersion = Math.max(this.heardVersion, version);
+    this.newestVersion = Math.max(this.newestVersion, version);
+    this.confirmWaitingRead();
     if (this.hasHeardOfNewerVersion()) {
       this.readSleep.wake();
     }
@@ -186,6 +239,37 @@
     }
   }
 
+  private confirmWaitingRead(): void {
+    const read = this.waitingRead;
+    if (read === undefined) {
+      return;
+    }
+    if (!this.hasNewestVersion()) {
+      this.waitingRead = undefined;
+    } else if (this.hasConfirmed || this.isTrusted(read)) {
+      this.waitingRead = undefined;
+      this.unconfirmedReads = 0;
+      this.hasConfirmed = true;
+      this.options.stalenessTracker.confirm(read.stateAt);
+    }
+  }
+
+  /** Returns whether the first read of this process may confirm its copy. */
+  private isTrusted({era = FIRST_STORE_ERA}: CompletedRead): boolean {
+    const {clock, hasHeardAllOthers} = this.options;
+    return (
+      era <= FIRST_STORE_ERA ||
+      hasHeardAllOthers() ||
+      clock.now() - this.startedAt >= DISTRUST_MILLISECONDS
+    );
+  }
+
+  /** Returns whether no other process is known to have a newer version. */
+  private hasNewestVersion(): boolean {
+    const own = this.options.version() ?? Number.NEGATIVE_INFINITY;
+    return own >= this.newestVersion;
+  }
+
   private get ageMilliseconds(): number {
     return this.options.stalenessTracker.ageMilliseconds();
   }
@@ -260,6 +344,7 @@
     if (
       own !== undefined &&
       own >= version &&
+      this.hasNewestVersion() &&
       this.options.evacuatedZones.areInForce(evacuatedZones)
     ) {
       this.options.stalenessTracker.confirm(stateAt);
--- a/packages/coordination/src/freshness_exchange/freshness_zones.test.ts
+++ b/packages/coordination/src/freshness_exchange/freshness_zones.test.ts
@@ -43,6 +43,8 @@
     findReaders: () => ['reader'],
     sendMessage: (_process, message) =>
       questions.push(...FreshnessMessage.decode(message).asked),
+    hasHeardAllOthers: () => true,
+    onStoreBehind: () => undefined,
     onConfirmed: () => undefined,
     onMalformed: reason => assert.fail(reason),
   });
--- a/packages/coordination/src/freshness_exchange/simulated_fleet.ts
+++ b/packages/coordination/src/freshness_exchange/simulated_fleet.ts
@@ -301,6 +301,8 @@
       findReaders: () => this.findReaders(),
       sendMessage: (to, message) =>
         fleet.send(name, to, target => target.receive(name, message)),
+      hasHeardAllOthers: () => true,
+      onStoreBehind: () => undefined,
       onConfirmed: () => undefined,
       onMalformed: reason => {
         throw new Error(reason);
@@ -324,9 +326,9 @@
       onReadStart: () => {
         this.exchange.recordReadStart();
         const sentAt = this.tracker.readTime();
-        return waited => {
+        return (waited, era) => {
           this.hasFailed = false;
-          this.tracker.confirm(sentAt + waited);
+          this.exchange.recordRead({stateAt: sentAt + waited, era});
         };
       },
       isUrgent: () => this.isReader,
--- a/packages/daemon/src/machine/create_configuration_freshness.ts
+++ b/packages/daemon/src/machine/create_configuration_freshness.ts
@@ -77,6 +77,15 @@
       ),
     sendMessage: (gateway, message) =>
       mesh().sendMessage('freshness', [gateway], message),
+    hasHeardAllOthers: () => {
+      const {knownGateways, reachableGateways} = mesh();
+      return (
+        knownGateways.length > 0 &&
+        knownGateways.every(gateway => reachableGateways.includes(gateway))
+      );
+    },
+    onStoreBehind: version =>
+      logger().warn('configuration_not_confirmed', {heard_version: version}),
     // Endpoints may be read infrequently, but an answer about the configuration
     // also proves that the store was available.
     onConfirmed: () =>
--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -131,9 +131,9 @@
     const outageLogger = new OutageLogger(topic, options);
     const onReadStart = () => {
       const confirm = topicOptions.onReadStart();
-      return (waitedMilliseconds: number) => {
+      return (waitedMilliseconds: number, era: number | undefined) => {
         outageLogger.recordResponse();
-        confirm(waitedMilliseconds);
+        confirm(waitedMilliseconds, era);
       };
     };
     runTask(topic, logger, () =>
@@ -213,11 +213,15 @@
       configurationFreshness.recordReadStart();
       const confirmZones = evacuatedZones.recordReadStart();
       const sentAt = stalenessTracker.readTime();
-      return waitedMilliseconds => {
+      return (waitedMilliseconds, era) => {
         confirmZones();
-        stalenessTracker.confirm(
-          Math.min(stalenessTracker.readTime(), sentAt + waitedMilliseconds),
-        );
+        configurationFreshness.recordRead({
+          stateAt: Math.min(
+            stalenessTracker.readTime(),
+            sentAt + waitedMilliseconds,
+          ),
+          era,
+        });
         // Endpoints may be read infrequently, but a response about the
         // configuration also proves that the store was available.
         endpoints.recordStoreResponse();
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -192,6 +192,22 @@
     to: '? 3 * expectedMilliseconds',
     test: 'machine/late_streams',
   },
+  {
+    promise: 'a key that was taken away is rejected in time',
+    mechanism: 'a store that lacks what others have read confirms nothing',
+    file: 'packages/coordination/dist/freshness_exchange/freshness_exchange.js',
+    from: 'if (!this.hasNewestVersion()) {',
+    to: 'if (false) {',
+    test: 'restored_store',
+  },
+  {
+    promise: 'a key that was taken away is rejected in time',
+    mechanism: 'a gateway that starts after a restoration waits for the others',
+    file: 'packages/coordination/dist/freshness_exchange/freshness_exchange.js',
+    from: 'era <= FIRST_STORE_ERA ||',
+    to: 'true ||',
+    test: 'machine/restored_keys',
+  },
   {
     promise: 'callers get answers only',
     mechanism: 'a response with an odd status is no answer',
