Ask who listens before an answer without a length counts as whole

Cause: any listener at the address counted as the process that had sent the answer. Evidence: with a stand-in that closes its streams and goes on listening as its next incarnation, without any freeze, the same is seen. Ruled out: the entry in the store; it lapses seconds later, and proves nothing.

--- a/packages/daemon/src/machine/create_forwarding_context.ts
+++ b/packages/daemon/src/machine/create_forwarding_context.ts
@@ -28,7 +28,11 @@
   type ForwardingContext,
   type OriginTransport,
 } from '@briarpin/forwarding';
-import {RequestDialect, type InstanceSettings} from '@briarpin/machines';
+import {
+  identifyEndpoint,
+  RequestDialect,
+  type InstanceSettings,
+} from '@briarpin/machines';
 import type {SuspicionRecord} from '@briarpin/messages';
 import {probeListener} from '@briarpin/platform';
 
@@ -100,7 +104,14 @@
   });
   const endpointEnds = new EndpointEnds({
     endpoints,
-    probeListener,
+    identify: ({service, ...address}) => {
+      const described = state.storeState.configuration?.services.get(service);
+      return identifyEndpoint({
+        address,
+        healthPath: described?.healthPath ?? '/',
+        isEngine: described?.engine !== undefined,
+      });
+    },
     onEnded: endpoint => quarantine.recordEnd(endpoint),
   });
   const coldEndpoints = new ColdEndpoints({
--- a/packages/forwarding/src/endpoint_ends/endpoint_ends.test.ts
+++ b/packages/forwarding/src/endpoint_ends/endpoint_ends.test.ts
@@ -7,9 +7,8 @@
 import {beforeEach, describe, it} from 'node:test';
 
 import type {EndpointEntry} from '@briarpin/coordination';
-import type {ListenerState} from '@briarpin/platform';
 
-import {EndpointEnds} from './endpoint_ends.js';
+import {EndpointEnds, type ListenerIdentity} from './endpoint_ends.js';
 
 const ENTRY: EndpointEntry = {
   id: 'a',
@@ -26,7 +25,8 @@
 
 describe('EndpointEnds', () => {
   let current: EndpointEntry | undefined;
-  let state: ListenerState;
+  let state: ListenerIdentity['state'];
+  let identity: Omit<ListenerIdentity, 'state'>;
   let probeCount: number;
   let ended: EndpointEntry[];
   let ends: EndpointEnds;
@@ -34,13 +34,14 @@
   beforeEach(() => {
     current = ENTRY;
     state = 'listening';
+    identity = {};
     probeCount = 0;
     ended = [];
     ends = new EndpointEnds({
       endpoints: {find: () => current},
-      probeListener: () => {
+      identify: () => {
         probeCount += 1;
-        return Promise.resolve(state);
+        return Promise.resolve({state, ...identity});
       },
       onEnded: endpoint => ended.push(endpoint),
     });
@@ -74,6 +75,33 @@
     });
   }
 
+  // Guards against a part of an answer that looks complete, as the process that
+  // listens at the address by now is taken for the one that crashed.
+  describe('asks who listens, and', () => {
+    const listeners: ReadonlyArray<
+      [string, Omit<ListenerIdentity, 'state'>, boolean]
+    > = [
+      ['says nothing', {}, false],
+      ['has its identifier', {id: 'a'}, false],
+      ['has its identifier and start', {id: 'a', startedAt: 10}, false],
+      ['has another identifier', {id: 'b'}, true],
+      ['has another start', {startedAt: 11}, true],
+      ['has its identifier and another start', {id: 'a', startedAt: 11}, true],
+    ];
+    for (const [description, listener, hasEnded] of listeners) {
+      it(`decides ${hasEnded} if the listener ${description}`, async () => {
+        identity = listener;
+        assert.equal(await ends.hasEnded(ENTRY), hasEnded);
+      });
+    }
+
+    it('compares no start with an entry that states none', async () => {
+      identity = {startedAt: 11};
+      current = {...ENTRY, startedAt: undefined};
+      assert.equal(await ends.hasEnded(current), false);
+    });
+  });
+
   for (const [description, entry] of [
     ['a later start', {...ENTRY, startedAt: 11}],
     ['other software', {...ENTRY, softwareVersion: 'v2'}],
--- a/packages/forwarding/src/endpoint_ends/endpoint_ends.ts
+++ b/packages/forwarding/src/endpoint_ends/endpoint_ends.ts
@@ -8,12 +8,20 @@
 } from '@briarpin/coordination';
 import type {ListenerState} from '@briarpin/platform';
 
-import type {EndpointAddress} from '../dialect/dialect.js';
+/** What listens at the address of an endpoint. */
+export interface ListenerIdentity {
+  readonly state: ListenerState;
+  /** Identifier by which it names itself; absent if it does not. */
+  readonly id?: string;
+  /** Start that it states, in milliseconds since the epoch; optional. */
+  readonly startedAt?: number;
+}
 
 /** Options of {@link EndpointEnds}. */
 export interface EndpointEndsOptions {
   readonly endpoints: Pick<EndpointRegistry, 'find'>;
-  readonly probeListener: (address: EndpointAddress) => Promise<ListenerState>;
+  /** Asks which process listens at the address of an endpoint. */
+  readonly identify: (endpoint: EndpointEntry) => Promise<ListenerIdentity>;
   /** Called when an endpoint is found to have ended. */
   readonly onEnded: (endpoint: EndpointEntry) => void;
 }
@@ -21,7 +29,8 @@
 /**
  * Decides whether an endpoint has ended, by proof and not by what its entry in
  * the store suggests: an endpoint whose entry is gone may be cut off from the
- * store, or leave without a notice, and serve on.
+ * store, or leave without a notice, and serve on. And a process that listens at its
+ * address may be the next one.
  */
 export class EndpointEnds {
   /**
@@ -41,11 +50,12 @@
     if (this.hasLaterIncarnation(endpoint)) {
       return true;
     }
-    const state = await this.options.probeListener(endpoint);
+    const listener = await this.options.identify(endpoint);
     const hasEnded =
-      state === 'not_listening' ||
+      listener.state === 'not_listening' ||
+      isOther(listener, endpoint) ||
       this.hasLaterIncarnation(endpoint) ||
-      (state === 'undecided' && this.isGone(endpoint));
+      (listener.state === 'undecided' && this.isGone(endpoint));
     if (hasEnded) {
       this.options.onEnded(endpoint);
     }
@@ -61,3 +71,13 @@
     return this.options.endpoints.find(id) === undefined;
   }
 }
+
+/** Returns whether a listener says that it is another process than an endpoint. */
+function isOther(listener: ListenerIdentity, endpoint: EndpointEntry): boolean {
+  const hasOtherId = listener.id !== undefined && listener.id !== endpoint.id;
+  const hasOtherStart =
+    listener.startedAt !== undefined &&
+    endpoint.startedAt !== undefined &&
+    listener.startedAt !== endpoint.startedAt;
+  return hasOtherId || hasOtherStart;
+}
