Let a stream go on nowhere if its endpoint may have been another incarnation

Cause: a stream was pinned to the version of the entry by which its endpoint was selected; that was checked once, before the gateway could know of the restart. Evidence: the record has endpoint_ready software=v2 half a second before the streams go on at v1, and crash_suspected of the same endpoint 3 s before they begin. Ruled out: the choice of the next endpoint, which follows the pin. Change: EndpointDoubts knows the endpoints that refused a connection since their entry; a stream that begins there has no known version, and one whose endpoint has other software when it breaks off loses it. Such a stream goes on nowhere, and the others are told.

--- a/packages/coordination/src/stream_origin_table/stream_origin_table.ts
+++ b/packages/coordination/src/stream_origin_table/stream_origin_table.ts
@@ -6,10 +6,19 @@
   STREAM_ORIGIN_SWEEP_MILLISECONDS,
 } from '../constants.js';
 
+/**
+ * Version of a stream whose endpoint may have been another incarnation than its
+ * entry said; such a stream may continue nowhere.
+ */
+export const UNKNOWN_SOFTWARE_VERSION = '';
+
 /** Where a stream began; it may continue only there. */
 export interface StreamOrigin {
   readonly service: string;
-  /** Version of the software of the endpoint that sent its first event. */
+  /**
+   * Version of the software of the endpoint that sent its first event, or
+   * {@link UNKNOWN_SOFTWARE_VERSION}.
+   */
   readonly softwareVersion: string;
 }
 
@@ -23,7 +32,7 @@
 }
 
 interface StoredOrigin {
-  readonly origin: StreamOrigin;
+  origin: StreamOrigin;
   expiresAt: number;
 }
 
@@ -51,8 +60,8 @@
   }
 
   /**
-   * Records where a stream began. The origin of a known stream never changes;
-   * its lifetime may be extended.
+   * Records where a stream began. The origin of a known stream never changes,
+   * except that it may turn out to be unknown; its lifetime may be extended.
    */
   record({requestId, origin, lifetimeMilliseconds}: KnownStream): void {
     this.sweep();
@@ -60,6 +69,9 @@
     const known = this.streams.get(requestId);
     if (known !== undefined) {
       known.expiresAt = Math.max(known.expiresAt, expiresAt);
+      if (origin.softwareVersion === UNKNOWN_SOFTWARE_VERSION) {
+        known.origin = origin;
+      }
       return;
     }
     this.streams.set(requestId, {origin, expiresAt});
--- a/packages/daemon/src/machine/create_forwarding_context.ts
+++ b/packages/daemon/src/machine/create_forwarding_context.ts
@@ -12,6 +12,7 @@
   ColdEndpoints,
   CrashQuarantine,
   EndpointClient,
+  EndpointDoubts,
   EndpointEligibility,
   EndpointEnds,
   EndpointLimits,
@@ -91,6 +92,14 @@
     logger,
     onLimitedRequest: onWorkStarted,
   });
+  const doubts = new EndpointDoubts(endpoints);
+  const probe = async (endpoint: EndpointEntry) => {
+    const state = await probeListener(endpoint);
+    if (state === 'not_listening') {
+      doubts.recordRefusal(endpoint);
+    }
+    return state;
+  };
   const quarantine = new CrashQuarantine({
     table: state.suspicionTable,
     endpoints,
@@ -98,7 +107,7 @@
     random: Math.random,
     gateway: settings.instance,
     wallClockMilliseconds: () => Date.now(),
-    probeListener,
+    probeListener: probe,
     logger,
     onSuspicion,
   });
@@ -112,7 +121,10 @@
         isEngine: described?.engine !== undefined,
       });
     },
-    onEnded: endpoint => quarantine.recordEnd(endpoint),
+    onEnded: endpoint => {
+      doubts.recordRefusal(endpoint);
+      quarantine.recordEnd(endpoint);
+    },
   });
   const coldEndpoints = new ColdEndpoints({
     gateway: settings.instance,
@@ -129,6 +141,7 @@
     dialect,
     client: new EndpointClient(dialect, limits, {
       hasEnded: endpoint => endpointEnds.hasEnded(endpoint),
+      onRefused: endpoint => doubts.recordRefusal(endpoint),
       onLeaving: endpoint => endpoints.markDrainingFromResponse(endpoint),
       onSend: endpoint => coldEndpoints.recordSend(endpoint),
     }),
@@ -145,6 +158,7 @@
     }),
     endpointsRead: state.endpointsRead,
     quarantine,
+    doubts,
     streamOrigins: new StreamOrigins({
       clock,
       logger,
--- a/packages/forwarding/src/crash_quarantine/crash_quarantine.ts
+++ b/packages/forwarding/src/crash_quarantine/crash_quarantine.ts
@@ -23,7 +23,6 @@
   computeSuspectKeys,
   type SuspectKeys,
 } from '../compute_suspect_keys/compute_suspect_keys.js';
-import type {EndpointAddress} from '../dialect/dialect.js';
 import type {Exchange} from '../exchange/exchange.js';
 
 /**
@@ -60,7 +59,8 @@
   readonly gateway: string;
   /** Milliseconds since the epoch. */
   readonly wallClockMilliseconds: () => number;
-  readonly probeListener: (address: EndpointAddress) => Promise<ListenerState>;
+  /** Finds out whether a process listens at the address of an endpoint. */
+  readonly probeListener: (endpoint: EndpointEntry) => Promise<ListenerState>;
   readonly logger: EventLogger;
   /** Called for each change that other gateways must receive. */
   readonly onSuspicion: (record: SuspicionRecord) => void;
--- a/packages/forwarding/src/endpoint_client/endpoint_client.test.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.test.ts
@@ -31,6 +31,7 @@
   } as unknown as Dialect;
   const client = new EndpointClient(dialect, limits, {
     hasEnded: () => Promise.resolve(false),
+    onRefused: () => undefined,
     onLeaving: silent,
     onSend: silent,
   });
--- a/packages/forwarding/src/endpoint_client/endpoint_client.ts
+++ b/packages/forwarding/src/endpoint_client/endpoint_client.ts
@@ -89,6 +89,8 @@
   readonly hasEnded: (endpoint: EndpointEntry) => Promise<boolean>;
   /** Called for each response that states that its endpoint shuts down. */
   readonly onLeaving: (endpoint: EndpointEntry) => void;
+  /** Called when nothing listens at the address of an endpoint. */
+  readonly onRefused: (endpoint: EndpointEntry) => void;
   /** Called for each attempt that is sent. */
   readonly onSend: (endpoint: EndpointEntry) => void;
 }
@@ -123,7 +125,10 @@
   send(attempt: Attempt): Promise<AttemptResult> {
     return new Promise(resolve => {
       const progress = {isConnected: false};
-      const fail = (error: Error) => {
+      const fail = (error: NodeJS.ErrnoException) => {
+        if (error.code === 'ECONNREFUSED') {
+          this.callbacks.onRefused(attempt.endpoint);
+        }
         const reason = describeFailure(error, attempt.signal);
         resolve(
           progress.isConnected
--- a/packages/forwarding/src/exchange/exchange.ts
+++ b/packages/forwarding/src/exchange/exchange.ts
@@ -23,6 +23,7 @@
 import type {ColdEndpoints} from '../cold_endpoints/cold_endpoints.js';
 import type {Dialect, RequestMetadata} from '../dialect/dialect.js';
 import type {CrashQuarantine} from '../crash_quarantine/crash_quarantine.js';
+import type {EndpointDoubts} from '../endpoint_doubts/endpoint_doubts.js';
 import type {EndpointClient} from '../endpoint_client/endpoint_client.js';
 import type {
   EligibleEndpoints,
@@ -64,6 +65,8 @@
   /** Retry budgets by service. */
   readonly retryBudgets: RetryBudgets;
   readonly quarantine: CrashQuarantine;
+  /** Endpoints that may have been replaced by later incarnations. */
+  readonly doubts: Pick<EndpointDoubts, 'isInDoubt'>;
   /** How long requests have taken. */
   readonly durations: RequestDurations;
   /** Software versions at which the streams of all gateways began. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -11,6 +11,7 @@
 export * from './endpoint_client/endpoint_client.js';
 export * from './endpoint_eligibility/endpoint_eligibility.js';
 export * from './engine_queue/engine_queue.js';
+export * from './endpoint_doubts/endpoint_doubts.js';
 export * from './endpoint_ends/endpoint_ends.js';
 export * from './endpoint_loads/endpoint_loads.js';
 export * from './endpoint_limits/endpoint_limits.js';
--- a/packages/forwarding/src/pin_stream_origin/pin_stream_origin.ts
+++ b/packages/forwarding/src/pin_stream_origin/pin_stream_origin.ts
@@ -1,11 +1,21 @@
 /**
  * Pins a stream to the software version where it begins.
  */
-import type {Clock, EndpointEntry} from '@briarpin/coordination';
+import {
+  UNKNOWN_SOFTWARE_VERSION,
+  type Clock,
+  type EndpointEntry,
+} from '@briarpin/coordination';
 
 import {computeTakeUpTime} from '../compute_take_up_time/compute_take_up_time.js';
 import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
 
+/** What this gateway knows of endpoints and streams. */
+export type OriginPinContext = Pick<
+  ForwardingContext,
+  'endpoints' | 'doubts' | 'streamOrigins' | 'clock'
+>;
+
 /**
  * Decides on the first event that an endpoint sends for a request. The first one
  * of a stream pins the exchange to the service and the software version of its
@@ -19,11 +29,7 @@
  */
 export function pinStreamOrigin(
   exchange: Exchange,
-  {
-    endpoints,
-    streamOrigins,
-    clock,
-  }: Pick<ForwardingContext, 'endpoints' | 'streamOrigins' | 'clock'>,
+  {endpoints, doubts, streamOrigins, clock}: OriginPinContext,
   endpoint: EndpointEntry,
 ): boolean {
   if (endpoints.hasOtherSoftware(endpoint)) {
@@ -32,7 +38,45 @@
   if (exchange.origin !== undefined) {
     return true;
   }
-  const {service, softwareVersion} = endpoint;
+  const softwareVersion = doubts.isInDoubt(endpoint)
+    ? UNKNOWN_SOFTWARE_VERSION
+    : endpoint.softwareVersion;
+  setOrigin(exchange, {streamOrigins, clock}, softwareVersion, endpoint);
+  return true;
+}
+
+/**
+ * Decides on a stream that has begun and that its endpoint has broken off. It
+ * belongs to no version any more if the endpoint turns out to have been started
+ * again with other software, before or after it began.
+ *
+ * @param exchange - The request; its origin may become unknown
+ * @param context - Shared context of the gateway
+ * @param endpoint - Entry of the endpoint when it was selected
+ * @returns True if the stream may continue at its origin
+ */
+export function confirmStreamOrigin(
+  exchange: Exchange,
+  {endpoints, streamOrigins, clock}: OriginPinContext,
+  endpoint: EndpointEntry,
+): boolean {
+  if (exchange.origin !== undefined && endpoints.hasOtherSoftware(endpoint)) {
+    setOrigin(
+      exchange,
+      {streamOrigins, clock},
+      UNKNOWN_SOFTWARE_VERSION,
+      endpoint,
+    );
+  }
+  return exchange.origin?.softwareVersion !== UNKNOWN_SOFTWARE_VERSION;
+}
+
+function setOrigin(
+  exchange: Exchange,
+  {streamOrigins, clock}: Pick<OriginPinContext, 'streamOrigins' | 'clock'>,
+  softwareVersion: string,
+  {service}: EndpointEntry,
+): void {
   const origin = {service, softwareVersion};
   exchange.origin = origin;
   const {requestId} = exchange.metadata;
@@ -40,7 +84,6 @@
     const lifetimeMilliseconds = computeLifetime(exchange, clock);
     streamOrigins.recordBegin({requestId, origin, lifetimeMilliseconds});
   }
-  return true;
 }
 
 /** Computes how long the caller of a stream may still take it up. */
--- a/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.ts
+++ b/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.ts
@@ -1,7 +1,11 @@
 /**
  * Finds out where the stream began that a caller takes up.
  */
-import type {RoutedService, StreamOrigin} from '@briarpin/coordination';
+import {
+  UNKNOWN_SOFTWARE_VERSION,
+  type RoutedService,
+  type StreamOrigin,
+} from '@briarpin/coordination';
 
 import type {Admission} from '../admit_request/admit_request.js';
 import {computeTakeUpTime} from '../compute_take_up_time/compute_take_up_time.js';
@@ -80,7 +84,10 @@
     return {kind: 'resolved', service, origin};
   }
   const origin = await streamOrigins.find(resumedRequestId);
-  if (origin === undefined) {
+  if (
+    origin === undefined ||
+    origin.softwareVersion === UNKNOWN_SOFTWARE_VERSION
+  ) {
     return reject('it is not known where the stream began');
   }
   const isRouted = route.services.some(
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -42,7 +42,10 @@
 import {permitRetry} from '../permit_retry/permit_retry.js';
 import {recordBrokenStream} from '../record_broken_stream/record_broken_stream.js';
 import {showsFault} from '../shows_fault/shows_fault.js';
-import {pinStreamOrigin} from '../pin_stream_origin/pin_stream_origin.js';
+import {
+  confirmStreamOrigin,
+  pinStreamOrigin,
+} from '../pin_stream_origin/pin_stream_origin.js';
 import type {StoppedRun} from '../run_evacuation/run_evacuation.js';
 import {RunMover} from '../run_mover/run_mover.js';
 import {
@@ -278,6 +281,9 @@
       checkpoint: stream.checkpointHolder?.id,
       paused: stream.wasPaused,
     });
+    if (!confirmStreamOrigin(this.exchange, this.context, stream.endpoint)) {
+      return failed;
+    }
     const checkpoint =
       this.writer.sentEvents > 0
         ? findCheckpoint(this.exchange, this.context, stream)
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -216,6 +216,22 @@
     to: 'true ||',
     test: 'machine/restored_keys',
   },
+  {
+    promise: 'a stream goes on only at the version that began it',
+    mechanism: 'an endpoint that refused a connection is in doubt',
+    file: 'packages/forwarding/dist/pin_stream_origin/pin_stream_origin.js',
+    from: 'doubts.isInDoubt(endpoint)',
+    to: 'false',
+    test: 'machine/stream_versions',
+  },
+  {
+    promise: 'a stream goes on only at the version that began it',
+    mechanism: 'the version is looked at again when a stream breaks off',
+    file: 'packages/forwarding/dist/pin_stream_origin/pin_stream_origin.js',
+    from: 'exchange.origin !== undefined && endpoints.hasOtherSoftware(endpoint)',
+    to: 'false',
+    test: 'machine/stream_versions',
+  },
   {
     promise: 'callers get answers only',
     mechanism: 'a response with an odd status is no answer',
