Split what an exchange is from what handles it, and open the circle of imports

Cause: exchange.ts held the types that all of forwarding needs, the context that names all services, and seven functions that use it; 12 files imported each other in a circle. Change: exchange.ts has the request and its result; forwarding_context.ts names the services, and the queue for engines by what handlers need of it, as that queue uses the context; each function has a folder of its own; StoppedRun and BufferedResponse too. Ruled out: a context without types of services, which would hide what a handler needs. Before: 12 files in one circle (counted over all imports, types too). Conclusion: each decision module can be read and tested without the wiring.

--- a/packages/forwarding/src/acquire_call_endpoint/acquire_call_endpoint.ts
+++ b/packages/forwarding/src/acquire_call_endpoint/acquire_call_endpoint.ts
@@ -4,11 +4,9 @@
 import {selectEndpoint} from '@briarpin/scheduling';
 
 import type {EngineAcquisition} from '../engine_acquisition/engine_acquisition.js';
-import {
-  findUntriedEndpoints,
-  type Exchange,
-  type ForwardingContext,
-} from '../exchange/exchange.js';
+import {findUntriedEndpoints} from '../find_untried_endpoints/find_untried_endpoints.js';
+import type {Exchange} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /**
  * Obtains an endpoint for a call. Where the deployment does not queue for
--- a/packages/forwarding/src/caller_server/caller_server.ts
+++ b/packages/forwarding/src/caller_server/caller_server.ts
@@ -10,7 +10,7 @@
 
 import {CallerConnections} from '../caller_connections/caller_connections.js';
 import {describeConnection} from '../describe_connection/describe_connection.js';
-import type {ForwardingContext} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 import {OpenRequest} from '../open_request/open_request.js';
 
 /**
--- a/packages/forwarding/src/choose_placement/choose_placement.ts
+++ b/packages/forwarding/src/choose_placement/choose_placement.ts
@@ -14,7 +14,8 @@
   EligibleEndpoint,
   EligibleEndpoints,
 } from '../endpoint_eligibility/endpoint_eligibility.js';
-import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
+import type {Exchange} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /**
  * Minimum estimated output of a checkpointed generation, in tokens: shorter
--- a/packages/forwarding/src/count_engine_work/count_engine_work.ts
+++ b/packages/forwarding/src/count_engine_work/count_engine_work.ts
@@ -9,7 +9,8 @@
   estimateMemoryTokens,
   estimateOutputTokens,
 } from '../choose_placement/choose_placement.js';
-import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
+import type {Exchange} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /** Events of a run after which its output is counted for its organisation. */
 const EVENTS_PER_COUNT = 32;
--- a/packages/forwarding/src/create_admission_request/create_admission_request.ts
+++ b/packages/forwarding/src/create_admission_request/create_admission_request.ts
@@ -7,7 +7,8 @@
 } from '@briarpin/scheduling';
 
 import {estimateOutputTokens} from '../choose_placement/choose_placement.js';
-import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
+import type {Exchange} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 import type {RunTimes} from '../run_times/run_times.js';
 
 /** Work of a call to a plain service, in tokens; all calls count the same. */
--- a/packages/forwarding/src/create_memory_rejection/create_memory_rejection.ts
+++ b/packages/forwarding/src/create_memory_rejection/create_memory_rejection.ts
@@ -2,7 +2,7 @@
  * Rejection of a request for whose body a gateway has no memory.
  */
 import type {ErrorResponse} from '../error_response/error_response.js';
-import type {ForwardingContext} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 import type {OpenRequest} from '../open_request/open_request.js';
 
 /**
--- a/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.test.ts
+++ b/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.test.ts
@@ -8,8 +8,8 @@
 
 import type {RoutingConfiguration} from '@briarpin/coordination';
 
-import {findUntriedEndpoints} from '../exchange/exchange.js';
-import type {StoppedRun} from '../run_evacuation/run_evacuation.js';
+import {findUntriedEndpoints} from '../find_untried_endpoints/find_untried_endpoints.js';
+import type {StoppedRun} from '../stopped_run/stopped_run.js';
 import type {EligibleEndpoints} from './endpoint_eligibility.js';
 import {
   createConfiguration,
--- a/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
+++ b/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
@@ -12,7 +12,7 @@
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {Exchange} from '../exchange/exchange.js';
 import {resolveAllowedRegions} from '../resolve_allowed_regions/resolve_allowed_regions.js';
-import type {StoppedRun} from '../run_evacuation/run_evacuation.js';
+import type {StoppedRun} from '../stopped_run/stopped_run.js';
 
 declare const ELIGIBLE: unique symbol;
 
--- a/packages/forwarding/src/evacuator/evacuator.ts
+++ b/packages/forwarding/src/evacuator/evacuator.ts
@@ -4,7 +4,7 @@
 import type {EndpointEntry} from '@briarpin/coordination';
 
 import type {EvacuationTurn} from '../evacuation_turn/evacuation_turn.js';
-import type {ForwardingContext} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /** Interval at which a gateway polls whether it may copy. */
 const TURN_POLL_INTERVAL_MILLISECONDS = 8;
--- a/packages/forwarding/src/explain_rejection/explain_rejection.test.ts
+++ b/packages/forwarding/src/explain_rejection/explain_rejection.test.ts
@@ -10,7 +10,7 @@
   createEntry,
   createRequest,
 } from '../endpoint_eligibility/eligibility_fixture.js';
-import type {ForwardingContext} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 import {explainRejection} from './explain_rejection.js';
 
 function explain(region: string) {
--- a/packages/forwarding/src/explain_rejection/explain_rejection.ts
+++ b/packages/forwarding/src/explain_rejection/explain_rejection.ts
@@ -1,7 +1,8 @@
 /**
  * Reason of a request that no endpoint accepts.
  */
-import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
+import type {Exchange} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /** Reason of a request that allowed regions or evacuated zones keep off all. */
 const NO_ALLOWED_ENDPOINT = 'no endpoint is in an allowed region and zone';
--- a/packages/forwarding/src/find_checkpoint/find_checkpoint.test.ts
+++ b/packages/forwarding/src/find_checkpoint/find_checkpoint.test.ts
@@ -12,7 +12,7 @@
   createRequest,
   type EligibilityFixture,
 } from '../endpoint_eligibility/eligibility_fixture.js';
-import type {ForwardingContext} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 import {findCheckpoint} from './find_checkpoint.js';
 
 const SOURCE = createEntry('source', 'east-1');
--- a/packages/forwarding/src/find_checkpoint/find_checkpoint.ts
+++ b/packages/forwarding/src/find_checkpoint/find_checkpoint.ts
@@ -5,7 +5,8 @@
 
 import type {MemorySource} from '../dialect/dialect.js';
 import type {EndpointStream} from '../endpoint_stream/endpoint_stream.js';
-import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
+import type {Exchange} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /** Endpoint that continues a run, and the copy of the run's memory it loads. */
 export interface ResumePoint {
--- a/packages/forwarding/src/forward_call/forward_call.ts
+++ b/packages/forwarding/src/forward_call/forward_call.ts
@@ -8,17 +8,14 @@
   type AttemptResult,
 } from '../endpoint_client/endpoint_client.js';
 import type {EndpointCandidate} from '../endpoint_loads/endpoint_loads.js';
-import {
-  failExchange,
-  sendBufferedResponse,
-  logFailedAttempt,
-  computeRemainingMilliseconds,
-  computeRetryAfterMilliseconds,
-  type Exchange,
-  type ExchangeResult,
-  type ForwardingContext,
-  type BufferedResponse,
-} from '../exchange/exchange.js';
+import {failExchange} from '../fail_exchange/fail_exchange.js';
+import {sendBufferedResponse} from '../send_buffered_response/send_buffered_response.js';
+import {logFailedAttempt} from '../log_failed_attempt/log_failed_attempt.js';
+import {computeRemainingMilliseconds} from '../compute_remaining_milliseconds/compute_remaining_milliseconds.js';
+import {computeRetryAfterMilliseconds} from '../compute_retry_after_milliseconds/compute_retry_after_milliseconds.js';
+import type {Exchange, ExchangeResult} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
+import type {BufferedResponse} from '../buffered_response/buffered_response.js';
 import {explainRejection} from '../explain_rejection/explain_rejection.js';
 import {logUnframedEnd} from '../log_attempts/log_attempts.js';
 import type {MemoryAccount} from '../memory_budget/memory_budget.js';
--- a/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
+++ b/packages/forwarding/src/forwarding_gateway/forwarding_gateway.ts
@@ -17,12 +17,9 @@
 import {describeConnection} from '../describe_connection/describe_connection.js';
 import {Evacuator} from '../evacuator/evacuator.js';
 import type {RequestMetadata} from '../dialect/dialect.js';
-import {
-  failExchange,
-  type Exchange,
-  type ExchangeResult,
-  type ForwardingContext,
-} from '../exchange/exchange.js';
+import {failExchange} from '../fail_exchange/fail_exchange.js';
+import type {Exchange, ExchangeResult} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 import {forwardCall} from '../forward_call/forward_call.js';
 import {
   sendErrorResponse,
--- a/packages/forwarding/src/last_requests/last_requests.ts
+++ b/packages/forwarding/src/last_requests/last_requests.ts
@@ -6,7 +6,7 @@
 
 import type {RequestMetadata} from '../dialect/dialect.js';
 import type {ErrorResponse} from '../error_response/error_response.js';
-import type {ForwardingContext} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /**
  * Time before the deregistration from which on streams are late: callers may have
--- a/packages/forwarding/src/log_attempts/log_attempts.ts
+++ b/packages/forwarding/src/log_attempts/log_attempts.ts
@@ -6,11 +6,9 @@
 
 import {computeMemoryShare} from '../choose_placement/choose_placement.js';
 import type {EndpointCandidate} from '../endpoint_loads/endpoint_loads.js';
-import {
-  describeSharedParts,
-  type Exchange,
-  type ForwardingContext,
-} from '../exchange/exchange.js';
+import {describeSharedParts} from '../describe_shared_parts/describe_shared_parts.js';
+import type {Exchange} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /** Logs at which engine a stream was placed, and why. */
 export function logPlacement(
--- a/packages/forwarding/src/open_result/open_result.ts
+++ b/packages/forwarding/src/open_result/open_result.ts
@@ -5,7 +5,7 @@
 
 import {bufferBody} from '../buffer_body/buffer_body.js';
 import {type AttemptResult} from '../endpoint_client/endpoint_client.js';
-import type {BufferedResponse} from '../exchange/exchange.js';
+import type {BufferedResponse} from '../buffered_response/buffered_response.js';
 import type {MemoryAccount} from '../memory_budget/memory_budget.js';
 
 /** Range of the statuses that a stream response may have. */
--- a/packages/forwarding/src/permit_retry/permit_retry.ts
+++ b/packages/forwarding/src/permit_retry/permit_retry.ts
@@ -3,12 +3,10 @@
  */
 import {decideRetry} from '@briarpin/scheduling';
 
-import {
-  findUntriedEndpoints,
-  computeRemainingMilliseconds,
-  type Exchange,
-  type ForwardingContext,
-} from '../exchange/exchange.js';
+import {findUntriedEndpoints} from '../find_untried_endpoints/find_untried_endpoints.js';
+import {computeRemainingMilliseconds} from '../compute_remaining_milliseconds/compute_remaining_milliseconds.js';
+import type {Exchange} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /** A request whose latest attempt failed. */
 export interface RetryCandidate {
--- a/packages/forwarding/src/pin_stream_origin/pin_stream_origin.ts
+++ b/packages/forwarding/src/pin_stream_origin/pin_stream_origin.ts
@@ -8,7 +8,8 @@
 } from '@briarpin/coordination';
 
 import {computeTakeUpTime} from '../compute_take_up_time/compute_take_up_time.js';
-import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
+import type {Exchange} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /** What this gateway knows of endpoints and streams. */
 export type OriginPinContext = Pick<
--- a/packages/forwarding/src/receive_body/receive_body.ts
+++ b/packages/forwarding/src/receive_body/receive_body.ts
@@ -9,7 +9,7 @@
   createMemoryRejection,
 } from '../create_memory_rejection/create_memory_rejection.js';
 import type {ErrorResponse} from '../error_response/error_response.js';
-import type {ForwardingContext} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 import type {MemoryAccount} from '../memory_budget/memory_budget.js';
 import type {OpenRequest} from '../open_request/open_request.js';
 import {readBody, type ReadBodyResult} from '../read_body/read_body.js';
--- a/packages/forwarding/src/record_admission/record_admission.ts
+++ b/packages/forwarding/src/record_admission/record_admission.ts
@@ -3,7 +3,8 @@
  */
 import type {AdmissionRejection, AdmissionRequest} from '@briarpin/scheduling';
 
-import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
+import type {Exchange} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /** A request that waits or has waited. */
 export interface LoggedRequest {
--- a/packages/forwarding/src/record_exchange/record_exchange.ts
+++ b/packages/forwarding/src/record_exchange/record_exchange.ts
@@ -3,11 +3,8 @@
  */
 import type {ConfigurationSnapshot} from '../admit_request/admit_request.js';
 import {describeConnection} from '../describe_connection/describe_connection.js';
-import type {
-  Exchange,
-  ExchangeResult,
-  ForwardingContext,
-} from '../exchange/exchange.js';
+import type {Exchange, ExchangeResult} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /**
  * Records the end of a request.
--- a/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.ts
+++ b/packages/forwarding/src/resolve_stream_origin/resolve_stream_origin.ts
@@ -11,7 +11,7 @@
 import {computeTakeUpTime} from '../compute_take_up_time/compute_take_up_time.js';
 import type {RequestMetadata} from '../dialect/dialect.js';
 import type {ErrorResponse} from '../error_response/error_response.js';
-import type {ForwardingContext} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /**
  * `Retry-After` of a stream of unknown origin: the gateways that know it may be
--- a/packages/forwarding/src/run_evacuation/run_evacuation.ts
+++ b/packages/forwarding/src/run_evacuation/run_evacuation.ts
@@ -6,7 +6,8 @@
 import {runTask} from '@briarpin/telemetry';
 
 import type {Dialect, MemorySource, MoveOutcome} from '../dialect/dialect.js';
-import type {ForwardingContext} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
+import type {StoppedRun} from '../stopped_run/stopped_run.js';
 
 /**
  * Timeout of one copy call. It exceeds the shutdown notice of engines, so that
@@ -45,38 +46,6 @@
   readonly mayResumeAtSource: () => boolean;
 }
 
-/** A run that has ended at its source and must resume on another engine. */
-export type StoppedRun =
-  /** The run was stopped and copied completely; it resumes at the target. */
-  | {
-      readonly kind: 'stopped';
-      readonly target: EndpointEntry;
-      readonly memorySource: MemorySource;
-    }
-  /**
-   * A copy call after the first copy got no answer, usually because the source
-   * exited; the target holds all but the newest tokens.
-   */
-  | {
-      readonly kind: 'source_lost';
-      readonly target: EndpointEntry;
-      readonly memorySource: MemorySource;
-    }
-  /**
-   * The run was stopped, its last copy was refused, and it may not resume at its
-   * source; the target holds all but the newest tokens.
-   */
-  | {
-      readonly kind: 'stopped_at_copy';
-      readonly target: EndpointEntry;
-      readonly memorySource: MemorySource;
-    }
-  /** The run was stopped, and only its source holds the memory. */
-  | {
-      readonly kind: 'stopped_at_source';
-      readonly memorySource: MemorySource;
-    };
-
 /** Outcome of a move. */
 export type MoveResult =
   | StoppedRun
--- a/packages/forwarding/src/run_mover/run_mover.test.ts
+++ b/packages/forwarding/src/run_mover/run_mover.test.ts
@@ -15,7 +15,8 @@
   type EligibilityFixture,
 } from '../endpoint_eligibility/eligibility_fixture.js';
 import {EndpointLoads} from '../endpoint_loads/endpoint_loads.js';
-import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
+import type {Exchange} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 import {RunMover} from './run_mover.js';
 
 function createEntry(id: string): EndpointEntry {
--- a/packages/forwarding/src/run_mover/run_mover.ts
+++ b/packages/forwarding/src/run_mover/run_mover.ts
@@ -7,13 +7,14 @@
 import {chooseCopyTarget} from '../choose_placement/choose_placement.js';
 import {computeCopyMilliseconds} from '../compute_copy_milliseconds/compute_copy_milliseconds.js';
 import type {EligibleEndpoint} from '../endpoint_eligibility/endpoint_eligibility.js';
-import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
+import type {Exchange} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 import {
   dropCopy,
   moveRun,
   type MoveResult,
-  type StoppedRun,
 } from '../run_evacuation/run_evacuation.js';
+import type {StoppedRun} from '../stopped_run/stopped_run.js';
 import type {EndpointStream} from '../endpoint_stream/endpoint_stream.js';
 
 /**
--- a/packages/forwarding/src/shows_fault/shows_fault.test.ts
+++ b/packages/forwarding/src/shows_fault/shows_fault.test.ts
@@ -8,7 +8,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
-import type {ForwardingContext} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 import {showsFault} from './shows_fault.js';
 
 type Context = Pick<ForwardingContext, 'clock'>;
--- a/packages/forwarding/src/shows_fault/shows_fault.ts
+++ b/packages/forwarding/src/shows_fault/shows_fault.ts
@@ -1,7 +1,8 @@
 /**
  * Attempts that show a fault of their endpoint.
  */
-import type {Exchange, ForwardingContext} from '../exchange/exchange.js';
+import type {Exchange} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /**
  * Returns whether an attempt without a response shows a fault of its endpoint: it
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -10,17 +10,14 @@
 import type {EvacuatedStream} from '../evacuator/evacuator.js';
 import {acquireEngine} from '../acquire_engine/acquire_engine.js';
 import {countEngineWork} from '../count_engine_work/count_engine_work.js';
-import {
-  failExchange,
-  sendBufferedResponse,
-  logFailedAttempt,
-  resolvePriority,
-  computeRemainingMilliseconds,
-  computeRetryAfterMilliseconds,
-  type Exchange,
-  type ExchangeResult,
-  type ForwardingContext,
-} from '../exchange/exchange.js';
+import {failExchange} from '../fail_exchange/fail_exchange.js';
+import {sendBufferedResponse} from '../send_buffered_response/send_buffered_response.js';
+import {logFailedAttempt} from '../log_failed_attempt/log_failed_attempt.js';
+import {resolvePriority} from '../resolve_priority/resolve_priority.js';
+import {computeRemainingMilliseconds} from '../compute_remaining_milliseconds/compute_remaining_milliseconds.js';
+import {computeRetryAfterMilliseconds} from '../compute_retry_after_milliseconds/compute_retry_after_milliseconds.js';
+import type {Exchange, ExchangeResult} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 import {
   isEventStream,
   isStreamResponse,
@@ -46,7 +43,7 @@
   confirmStreamOrigin,
   pinStreamOrigin,
 } from '../pin_stream_origin/pin_stream_origin.js';
-import type {StoppedRun} from '../run_evacuation/run_evacuation.js';
+import type {StoppedRun} from '../stopped_run/stopped_run.js';
 import {RunMover} from '../run_mover/run_mover.js';
 import {
   EndpointStream,
--- a/packages/forwarding/src/stream_writer/stream_writer.ts
+++ b/packages/forwarding/src/stream_writer/stream_writer.ts
@@ -4,12 +4,9 @@
 import type {IncomingMessage} from 'node:http';
 
 import type {EventBatch} from '../event_splitter/event_splitter.js';
-import {
-  closesConnection,
-  type Exchange,
-  type ExchangeResult,
-  type ForwardingContext,
-} from '../exchange/exchange.js';
+import {closesConnection} from '../closes_connection/closes_connection.js';
+import type {Exchange, ExchangeResult} from '../exchange/exchange.js';
+import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 
 /**
  * Forwards complete events as they arrive. Status and headers are those of the
