--- a/review/14/run.mjs
+++ b/review/14/run.mjs
@@ -86,7 +86,7 @@
     await sleep(2_000);
     const [leaving, ...others] = servers;
     if (HAS_TROUBLE) {
-      others[0].losesNextMovedAnswer = true;
+      others.forEach(server => (server.losesNextMovedAnswer = true));
     }
     leaving.drain();
     await sleep(6_000);
@@ -108,7 +108,10 @@
         `request ${id} goes on at ${server} while the server before works on it`,
       ),
     );
-    log(`server ${others[0].id} ran ${others[0].runs.length} requests`);
+    const lost = servers.filter(server => server.hasLostAnswer);
+    lost.forEach(({id, runs: own}) =>
+      log(`server ${id} ran ${own.length} requests`),
+    );
     const whole = answers.filter(({isComplete}) => isComplete).length;
     return {
       broken: doubled.length > 0,
--- a/review/stand_ins_3/moving_server.mjs
+++ b/review/stand_ins_3/moving_server.mjs
@@ -109,7 +109,9 @@
     );
     const isLost = copy !== undefined && this.losesNextMovedAnswer;
     if (isLost) {
-      this.losesNextMovedAnswer = false;
+      this.hasLostAnswer = true;
+      // Only one answer is lost.
+      this.peers.forEach(server => (server.losesNextMovedAnswer = false));
       this.log(`server ${this.id} loses its answer to ${id}, and works on`);
       response.socket.resetAndDestroy();
     } else {
