--- a/review/stand_ins_3/gateway.mjs
+++ b/review/stand_ins_3/gateway.mjs
@@ -85,8 +85,8 @@
       path.join(this.folder, `${this.name}.log`),
       {flags: 'a'},
     );
-    this.child.stdout.pipe(output);
-    this.child.stderr.pipe(output);
+    this.child.stdout.pipe(output, {end: false});
+    this.child.stderr.pipe(output, {end: false});
     this.startedAt = Date.now();
   }
 
--- a/review/stand_ins_3/model_server.mjs
+++ b/review/stand_ins_3/model_server.mjs
@@ -14,6 +14,7 @@
 export class ModelServer {
   /** All requests that any incarnation began to run. */
   runs = [];
+  state = 'ready';
   #sockets = new Set();
   #port = 0;
 
@@ -45,6 +46,11 @@
     this.heartbeat = setInterval(() => this.register(), HEARTBEAT_MILLISECONDS);
   }
 
+  /** True while an incarnation listens. */
+  get isListening() {
+    return this.http?.listening === true;
+  }
+
   /** Address at which all incarnations listen. */
   get address() {
     return `127.0.0.1:${this.#port}`;
@@ -55,20 +61,32 @@
     if (this.store.mode !== 'serves') {
       return;
     }
+    this.store.put('keyed.servers', this.id, this.createEntry());
+  }
+
+  /** Creates the next entry of this incarnation. */
+  createEntry() {
     this.sequence += 1;
-    this.store.put('keyed.servers', this.id, {
+    return {
       Service: this.service,
       Address: this.address,
       Zone: 'east-1',
       Version: this.version,
       Slots: 24,
-      State: this.state ?? 'ready',
+      State: this.state,
       ColdRemainingMs: 0,
       Stage: 'colocated',
       Models: [{Name: 'm', Version: 1, Adapters: []}],
       Seq: this.sequence,
       born: this.born,
-    });
+    };
+  }
+
+  /** Says that the server leaves. */
+  drain() {
+    this.log(`server ${this.id} drains`);
+    this.state = 'draining';
+    this.register();
   }
 
   /** Ends the incarnation as a crash does: without a word, all connections reset. */
@@ -118,7 +136,7 @@
       KvUsed: 1_000,
       KvTotal: 34_319,
       Handles: 0,
-      State: this.state ?? 'ready',
+      State: this.state,
       born: this.born,
     };
     response.writeHead(200, {'Content-Type': 'application/json'});
--- a/review/stand_ins_3/moving_server.mjs
+++ b/review/stand_ins_3/moving_server.mjs
@@ -11,7 +11,6 @@
 
 /** A model server with the calls by which runs are moved. */
 export class MovingServer extends ModelServer {
-  state = 'ready';
   /** True if the answer of the next moved run is to be lost. */
   losesNextMovedAnswer = false;
   /** Runs that have a connection, by request. */
@@ -19,13 +18,6 @@
   /** Memory of runs that go on from here, by the name of the copy. */
   #memory = new Map();
 
-  /** Says that the server leaves. */
-  drain() {
-    this.log(`server ${this.id} drains`);
-    this.state = 'draining';
-    this.register();
-  }
-
   /** Handles the calls that move runs, and requests. */
   handle(request, response) {
     const path = request.url.split('?')[0];
