--- a/review/stand_ins_3/store.mjs
+++ b/review/stand_ins_3/store.mjs
@@ -46,6 +46,22 @@
     this.#append(this.#find(topicName), key, bytes);
   }
 
+  /** Copies the contents, for {@link restore}. */
+  copy() {
+    return [...this.#topics].map(([name, {records}]) => [name, [...records]]);
+  }
+
+  /** Returns from a copy: what was written since is gone. */
+  restore(copy) {
+    this.era += 1;
+    this.#topics.clear();
+    for (const [name, records] of copy) {
+      const topic = this.#find(name);
+      records.forEach(({key, value}) => this.#append(topic, key, value));
+    }
+    this.#sockets.forEach(socket => socket.destroy());
+  }
+
   #find(name) {
     let topic = this.#topics.get(name);
     if (topic === undefined) {
