End all processes of a case also when its script fails or is stopped

Tried: SIGTERM to a script in the middle of a case; cases 11 to 14 once more. Seen: exit 2 and no process left; before, an error of a script that was not caught had left its gateways running. The four cases fail as before. Result: handlers in the frame of the cases.

--- a/review/stand_ins_3/case_run.mjs
+++ b/review/stand_ins_3/case_run.mjs
@@ -52,6 +52,14 @@
     finish();
     process.exit(2);
   }, LIMIT_MILLISECONDS);
+  const giveUp = reason => {
+    log(`the case could not run: ${reason?.stack ?? reason}`);
+    finish();
+    process.exit(2);
+  };
+  for (const event of ['uncaughtException', 'SIGTERM', 'SIGINT']) {
+    process.once(event, giveUp);
+  }
   try {
     log(HAS_TROUBLE ? 'with the disruption' : 'without the disruption');
     const {broken, text} = await play({log, folder, stoppers});
