--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,6 @@
 # only checks that each file can be parsed.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in stand_ins_3/*.mjs 1[1-5]/*.mjs; do
+for file in stand_ins_3/*.mjs trials_3/*.mjs 1[1-5]/*.mjs; do
   [ -e "$file" ] && node --check "$file"
 done
