Keep live endpoints in use after a late write of an earlier incarnation

Cause: three steps. The registry took any entry with another start for a restart, also that of an incarnation which it had itself seen replaced. A restart was reported to the other gateways as a notice of the incarnation that it had ended, here of the live one, and a notice binds until another incarnation begins. And an arrival that a peer reports was ignored while any entry of the identifier was known.

Ruled out: lack of room, lapsed entries (no 'entry_removed').

Change: judgeEntry decides what an entry proves: an incarnation that started earlier or was replaced before replaces the current one only if it goes on to write while the current one is silent, as a clock may have been set back before a start. createDeparture reports a restart without a notice. A later start that a peer reports is used at once. While an earlier incarnation with other software competes, streams that begin are of unknown software.

--- a/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
@@ -6,7 +6,8 @@
 import assert from 'node:assert/strict';
 import {beforeEach, describe, it} from 'node:test';
 
-import {EndpointRegistry, type EndpointEntry} from './endpoint_registry.js';
+import type {EndpointEntry} from '../endpoint_entry/endpoint_entry.js';
+import {EndpointRegistry} from './endpoint_registry.js';
 
 const HEARTBEAT_MILLISECONDS = 1_200;
 
@@ -246,6 +247,126 @@
     });
   });
 
+  describe('when an entry of an earlier incarnation arrives late', () => {
+    const EARLIER = {startedAt: 1, sequence: 20};
+    const CURRENT = {startedAt: 2, sequence: 1};
+
+    function createRestarted() {
+      const fixture = createRegistry();
+      fixture.registry.put(createEntry('a', EARLIER));
+      fixture.registry.put(createEntry('a', CURRENT));
+      fixture.leavingEvents.length = 0;
+      fixture.time.now = 1_000;
+      return fixture;
+    }
+
+    // Guards against live endpoints that are shunned: the late entry was taken for
+    // a restart, and reported to the peers as a notice of the current incarnation.
+    it('keeps the current one and reports nothing', () => {
+      const {registry, leavingEvents, readyIds} = createRestarted();
+      for (const state of ['ready', 'draining'] as const) {
+        registry.put(createEntry('a', {...EARLIER, sequence: 21, state}));
+        assert.equal(registry.find('a')?.startedAt, 2);
+        assert.deepEqual(readyIds(), ['a']);
+        assert.deepEqual(leavingEvents, []);
+      }
+    });
+
+    it('keeps it also after its own entry was gone', () => {
+      const {registry, readyIds} = createRestarted();
+      registry.remove('a');
+      registry.put(createEntry('a', {...EARLIER, sequence: 21}));
+      assert.deepEqual(readyIds(), []);
+      registry.put(createEntry('a', {...CURRENT, sequence: 2}));
+      assert.equal(registry.find('a')?.startedAt, 2);
+    });
+
+    it('does not know its software until the current one writes again', () => {
+      const {registry} = createRestarted();
+      const current = createEntry('a', CURRENT);
+      assert.equal(registry.mayHaveOtherSoftware(current), false);
+      registry.put(
+        createEntry('a', {...EARLIER, sequence: 21, softwareVersion: 'v0'}),
+      );
+      assert.equal(registry.mayHaveOtherSoftware(current), true);
+      registry.put(createEntry('a', CURRENT));
+      assert.equal(registry.mayHaveOtherSoftware(current), true);
+      registry.put(createEntry('a', {...CURRENT, sequence: 2}));
+      assert.equal(registry.mayHaveOtherSoftware(current), false);
+    });
+
+    it('uses it within two heartbeats if its clock was set back', () => {
+      const {registry, time, leavingEvents} = createRestarted();
+      const backward = {startedAt: 0, softwareVersion: 'v2'};
+      registry.put(createEntry('a', {...backward, sequence: 1}));
+      assert.equal(registry.find('a')?.startedAt, 2);
+      time.now += HEARTBEAT_MILLISECONDS;
+      registry.put(createEntry('a', {...backward, sequence: 2}));
+      assert.equal(registry.find('a')?.startedAt, 0);
+      assert.deepEqual(leavingEvents, ['a restarted']);
+      time.now += HEARTBEAT_MILLISECONDS;
+      registry.put(createEntry('a', CURRENT));
+      registry.put(createEntry('a', {...EARLIER, sequence: 22}));
+      assert.equal(registry.find('a')?.startedAt, 0);
+    });
+
+    it('keeps the current one that has written later in the same read', () => {
+      const {registry, time} = createRegistry();
+      registry.put(createEntry('a', CURRENT));
+      time.now = 60_000;
+      const next = createEntry('a', {...CURRENT, sequence: 40});
+      registry.put(createEntry('a', EARLIER), next);
+      assert.equal(registry.find('a')?.startedAt, 2);
+    });
+  });
+
+  describe('when a peer reports a later incarnation', () => {
+    const LATER = {startedAt: 2, sequence: 1};
+
+    it('uses it in place of the one that it knows', () => {
+      const {registry, leavingEvents, readyEvents} = createRegistry();
+      registry.put(createEntry('a', {sequence: 20}));
+      registry.addFromPeer(createEntry('a', LATER));
+      assert.equal(registry.find('a')?.startedAt, 2);
+      assert.deepEqual(leavingEvents, ['a restarted']);
+      assert.deepEqual(readyEvents, ['a', 'a']);
+      registry.put(createEntry('a', LATER));
+      assert.deepEqual(leavingEvents, ['a restarted']);
+    });
+
+    it('uses it although the one that it knows is draining', () => {
+      const {registry, readyIds} = createRegistry();
+      registry.put(createEntry('a', {sequence: 20, state: 'draining'}));
+      registry.addFromPeer(createEntry('a', LATER));
+      assert.deepEqual(readyIds(), ['a']);
+    });
+
+    it('tells once that the one before has ended, after its departure', () => {
+      const {registry, leavingEvents} = createRegistry();
+      registry.put(createEntry('a', {sequence: 20}));
+      registry.applyDeparture({
+        id: 'a',
+        startedAt: 1,
+        sequence: 20,
+        hasNotice: false,
+      });
+      registry.put(createEntry('a', LATER));
+      assert.deepEqual(leavingEvents, ['a told_by_peer', 'a restarted']);
+    });
+
+    it('keeps what it knows when the start is not later', () => {
+      const {registry, leavingEvents} = createRegistry();
+      registry.put(createEntry('a', {sequence: 20}));
+      for (const startedAt of [undefined, 0]) {
+        registry.addFromPeer(
+          createEntry('a', {startedAt, softwareVersion: 'v2', sequence: 99}),
+        );
+      }
+      assert.equal(registry.find('a')?.sequence, 20);
+      assert.deepEqual(leavingEvents, []);
+    });
+  });
+
   describe('when a peer reports that an endpoint is leaving', () => {
     it('drains the reported incarnation', () => {
       const {registry, readyIds, leavingEvents} = createRegistry();
--- a/packages/coordination/src/endpoint_registry/endpoint_registry.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.ts
@@ -7,60 +7,24 @@
   EXPIRED_ENTRY_GRACE_MILLISECONDS,
   UNCONFIRMED_ENTRY_LIFETIME_MILLISECONDS,
 } from '../constants.js';
+import type {
+  EndpointDeparture,
+  EndpointEntry,
+  EndpointIncarnation,
+  LeavingReason,
+} from '../endpoint_entry/endpoint_entry.js';
+import {EndpointIncarnations} from '../endpoint_incarnations/endpoint_incarnations.js';
+import {isOfSameIncarnation} from '../is_of_same_incarnation/is_of_same_incarnation.js';
+import {
+  judgeEntry,
+  type CurrentIncarnation,
+  type EntryVerdict,
+} from '../judge_entry/judge_entry.js';
 import {SoftwareVersionHistory} from '../software_version_history/software_version_history.js';
 
-/** Entry that an endpoint publishes about itself. */
-export interface EndpointEntry {
-  /**
-   * Identifier of the endpoint; distinguishes incarnations unless a restarted
-   * endpoint keeps it.
-   */
-  readonly id: string;
-  readonly service: string;
-  readonly host: string;
-  readonly port: number;
-  readonly availabilityZone: string;
-  /** Version of its software; versions have no order. */
-  readonly softwareVersion: string;
-  readonly state: 'ready' | 'draining';
-  /** Maximum number of concurrent requests. */
-  readonly slots: number;
-  /** Warm-up time after the start, in milliseconds. */
-  readonly coldMilliseconds: number;
-  /** Start of this incarnation, in milliseconds since the epoch; optional. */
-  readonly startedAt?: number;
-  /** Increases with each entry of one incarnation; optional. */
-  readonly sequence?: number;
-}
-
-/** Reason why an endpoint no longer receives work. */
-export type LeavingReason =
-  | 'draining'
-  | 'entry_removed'
-  | 'restarted'
-  | 'told_by_endpoint'
-  | 'told_by_peer';
-
 /** Where an endpoint was first reported. */
 export type EntrySource = 'store' | 'peer';
 
-/** Process lifetime of an endpoint, between a start and the next one. */
-export interface EndpointIncarnation {
-  readonly id: string;
-  readonly startedAt?: number;
-}
-
-/** Departure of an incarnation, as processes report it to each other. */
-export interface EndpointDeparture extends EndpointIncarnation {
-  /**
-   * True if the endpoint has announced it or has started again; false if only
-   * its entry is gone, which it may write again.
-   */
-  readonly hasNotice: boolean;
-  /** Sequence number of the last entry that is known. */
-  readonly sequence?: number;
-}
-
 /** Options of {@link EndpointRegistry}. */
 export interface EndpointRegistryOptions {
   /** Interval between two entries of a running endpoint, in milliseconds. */
@@ -74,8 +38,7 @@
 }
 
 /** Last entry of a removed endpoint. */
-interface RemovedEndpoint {
-  readonly entry: EndpointEntry;
+interface RemovedEndpoint extends CurrentIncarnation {
   readonly removedAt: number;
   /**
    * Sequence number up to which entries of the incarnation are known to be gone;
@@ -84,8 +47,7 @@
   readonly goneSequence?: number;
 }
 
-interface TrackedEndpoint {
-  entry: EndpointEntry;
+interface TrackedEndpoint extends CurrentIncarnation {
   /**
    * Time of eviction; set while an outage may have removed the entry of a
    * running endpoint.
@@ -108,8 +70,9 @@
  * in which a running endpoint writes it again.
  *
  * Newer evidence replaces older one, whoever reports it. What an endpoint says of
- * its own departure binds until another incarnation begins. An entry that is gone
- * says less: a later entry of the same incarnation makes the endpoint ready again.
+ * its own departure binds until another incarnation begins. An entry that is gone,
+ * or that is of another incarnation, says less: a later entry of the same
+ * incarnation makes the endpoint ready again.
  */
 export class EndpointRegistry {
   private readonly tracked = new Map<string, TrackedEndpoint>();
@@ -118,6 +81,7 @@
   private lastResponseAt: number;
   private graceUntil = Number.NEGATIVE_INFINITY;
   private readonly softwareHistory: SoftwareVersionHistory;
+  private readonly incarnations: EndpointIncarnations;
 
   /**
    * @param options - Clock, heartbeat interval and callbacks
@@ -125,6 +89,7 @@
   constructor(private readonly options: EndpointRegistryOptions) {
     this.lastResponseAt = options.now();
     this.softwareHistory = new SoftwareVersionHistory(options.now);
+    this.incarnations = new EndpointIncarnations(options.now);
   }
 
   /**
@@ -168,63 +133,75 @@
   /**
    * Applies an entry of an endpoint. Entries may be written late: one that is
    * older than the last entry of the same incarnation is ignored, and a
-   * draining incarnation does not become ready again. During the grace period,
-   * an earlier incarnation is ignored too: the store may have returned it from
-   * an old copy.
+   * draining incarnation does not become ready again. An incarnation that started
+   * earlier replaces the current one only if it goes on to write.
+   *
+   * @param entry - The entry
+   * @param followingEntry - Last entry of the endpoint in the same read, if any
    */
-  put(entry: EndpointEntry): void {
-    const before = this.tracked.get(entry.id)?.entry;
-    const lastEntry = before ?? this.removed.get(entry.id)?.entry;
-    const isSameIncarnation =
-      lastEntry !== undefined && isOfSameIncarnation(entry, lastEntry);
+  put(entry: EndpointEntry, followingEntry?: EndpointEntry): void {
+    const before = this.tracked.get(entry.id);
+    const verdict = this.judge(entry, followingEntry);
+    if (verdict === 'competes') {
+      this.recordCompeting(entry);
+    }
     if (
-      lastEntry !== undefined &&
-      (this.isOutdated(entry, lastEntry) || this.isKnownToBeGone(entry))
+      verdict === 'competes' ||
+      verdict === 'outdated' ||
+      this.isKnownToBeGone(entry)
     ) {
       return;
     }
-    this.tracked.set(entry.id, {entry});
+    const replaced = verdict === 'replaces' ? this.replace(entry) : undefined;
+    if (verdict === 'confirms' && !this.isRepeated(entry)) {
+      this.incarnations.recordConfirmation(entry.id);
+    }
+    this.tracked.set(entry.id, {entry, heardAt: this.readHeardAt(entry)});
     this.recordSoftware(entry);
     this.removed.delete(entry.id);
     this.readyByService.clear();
-    if (before !== undefined && !isSameIncarnation) {
-      this.recordSoftware(before);
-      this.options.onLeaving(before, 'restarted');
+    if (replaced !== undefined) {
+      this.options.onLeaving(replaced, 'restarted');
     }
-    if (entry.state === 'draining' && before?.state !== 'draining') {
+    if (entry.state === 'draining' && before?.entry.state !== 'draining') {
       this.options.onLeaving(entry, 'draining');
     }
     if (
       entry.state === 'ready' &&
-      (before === undefined || !isSameIncarnation)
+      (before === undefined || verdict === 'replaces')
     ) {
       this.options.onReady?.(entry, 'store');
     }
   }
 
   /**
-   * Adds an endpoint reported by a peer that is new, or that the peer has seen
-   * again after its removal. It is used immediately and evicted unless an entry of
-   * the store confirms it in time.
+   * Adds an endpoint reported by a peer that is new, that has started again, or
+   * that the peer has seen again after its removal. It is used immediately and
+   * evicted unless an entry of the store confirms it in time.
    */
   addFromPeer(entry: EndpointEntry): void {
-    const removedEntry = this.removed.get(entry.id)?.entry;
-    if (
-      this.tracked.has(entry.id) ||
-      (removedEntry !== undefined && !isNewer(entry, removedEntry))
-    ) {
+    const isTracked = this.tracked.has(entry.id);
+    const current = this.findCurrent(entry.id)?.entry;
+    if (current !== undefined && !this.isNewerThan(current, entry, isTracked)) {
       return;
     }
+    const isReplacing =
+      current !== undefined && !isOfSameIncarnation(entry, current);
+    const replaced = isReplacing ? this.replace(entry) : undefined;
     const unconfirmedUntil =
       this.options.now() + UNCONFIRMED_ENTRY_LIFETIME_MILLISECONDS;
     this.tracked.set(entry.id, {
       entry,
+      heardAt: this.options.now(),
       unconfirmedUntil,
-      hasReturned: removedEntry !== undefined,
+      hasReturned: current !== undefined,
     });
     this.removed.delete(entry.id);
     this.recordSoftware(entry);
     this.readyByService.clear();
+    if (replaced !== undefined) {
+      this.options.onLeaving(replaced, 'restarted');
+    }
     this.options.onReady?.(entry, 'peer');
   }
 
@@ -258,21 +235,21 @@
     {id, startedAt}: EndpointIncarnation,
     reason: LeavingReason,
   ): void {
-    const isTracked = this.tracked.has(id);
-    const entry = this.tracked.get(id)?.entry ?? this.removed.get(id)?.entry;
+    const current = this.findCurrent(id);
     if (
-      entry === undefined ||
-      entry.state === 'draining' ||
-      entry.startedAt !== startedAt
+      current === undefined ||
+      current.entry.state === 'draining' ||
+      current.entry.startedAt !== startedAt
     ) {
       return;
     }
-    const leaving: EndpointEntry = {...entry, state: 'draining'};
-    if (isTracked) {
-      this.tracked.set(id, {entry: leaving});
+    const {heardAt} = current;
+    const leaving: EndpointEntry = {...current.entry, state: 'draining'};
+    if (this.tracked.has(id)) {
+      this.tracked.set(id, {entry: leaving, heardAt});
     } else {
       const removedAt = this.options.now();
-      this.removed.set(id, {entry: leaving, removedAt});
+      this.removed.set(id, {entry: leaving, heardAt, removedAt});
     }
     this.readyByService.clear();
     this.options.onLeaving(leaving, reason);
@@ -319,6 +296,7 @@
     const now = this.options.now();
     this.softwareHistory.recordRead();
     this.softwareHistory.forgetOld();
+    this.incarnations.forgetOld();
     for (const [id, {removedAt}] of this.removed) {
       if (now - removedAt > REMOVED_ENTRY_RETENTION_MILLISECONDS) {
         this.removed.delete(id);
@@ -354,6 +332,17 @@
     return current !== undefined && current.softwareVersion !== softwareVersion;
   }
 
+  /**
+   * Returns whether an endpoint may have come back under its name with other
+   * software: an entry says so that may be a late one.
+   */
+  mayHaveOtherSoftware({id, softwareVersion}: EndpointEntry): boolean {
+    const competing = this.incarnations.findCompeting(id);
+    return (
+      competing !== undefined && competing.softwareVersion !== softwareVersion
+    );
+  }
+
   /**
    * Finds the only software version that a service has had for some time.
    *
@@ -391,18 +380,89 @@
       .filter(entry => entry.service === service);
   }
 
-  /** Returns whether an entry is older than the last one of its endpoint. */
-  private isOutdated(entry: EndpointEntry, lastEntry: EndpointEntry): boolean {
-    if (isOfSameIncarnation(entry, lastEntry)) {
-      return isStale(entry, lastEntry);
+  private findCurrent(id: string): CurrentIncarnation | undefined {
+    return this.tracked.get(id) ?? this.removed.get(id);
+  }
+
+  private judge(
+    entry: EndpointEntry,
+    followingEntry: EndpointEntry | undefined,
+  ): EntryVerdict {
+    const {now, heartbeatMilliseconds} = this.options;
+    const current = this.findCurrent(entry.id);
+    const competing = this.incarnations.findCompeting(entry.id);
+    return judgeEntry(entry, {
+      current,
+      replacedEntry: this.incarnations.findReplaced(entry),
+      competingEntry:
+        competing && isOfSameIncarnation(competing, entry)
+          ? competing
+          : undefined,
+      isFollowedByCurrent:
+        current !== undefined &&
+        followingEntry !== undefined &&
+        isOfSameIncarnation(followingEntry, current.entry) &&
+        isNewer(followingEntry, current.entry),
+      isGracePeriod: now() < this.graceUntil,
+      heartbeatMilliseconds,
+      now: now(),
+    });
+  }
+
+  /**
+   * Records that an entry's incarnation has replaced the current one.
+   *
+   * @returns Entry of the replaced incarnation, if its end is news
+   */
+  private replace(entry: EndpointEntry): EndpointEntry | undefined {
+    const current = this.findCurrent(entry.id);
+    if (current === undefined) {
+      return undefined;
     }
-    const {startedAt} = entry;
-    const lastStartedAt = lastEntry.startedAt;
+    this.incarnations.recordReplacement(current.entry, entry);
+    this.recordSoftware(current.entry);
+    const isKnown =
+      this.tracked.has(entry.id) ||
+      this.removed.get(entry.id)?.goneSequence !== undefined;
+    return isKnown ? current.entry : undefined;
+  }
+
+  private recordCompeting(entry: EndpointEntry): void {
+    this.incarnations.recordCompeting(entry);
+    this.recordSoftware(entry);
+  }
+
+  /** Returns the time of an entry that is new, or of the last one that was. */
+  private readHeardAt(entry: EndpointEntry): number {
+    const now = this.options.now();
+    return this.isRepeated(entry)
+      ? (this.findCurrent(entry.id)?.heardAt ?? now)
+      : now;
+  }
+
+  /** Returns whether an entry is the last one of the current incarnation again. */
+  private isRepeated(entry: EndpointEntry): boolean {
+    const current = this.findCurrent(entry.id);
     return (
-      startedAt !== undefined &&
-      lastStartedAt !== undefined &&
-      startedAt < lastStartedAt &&
-      this.options.now() < this.graceUntil
+      current !== undefined &&
+      entry.sequence !== undefined &&
+      entry.sequence === current.entry.sequence &&
+      isOfSameIncarnation(entry, current.entry)
+    );
+  }
+
+  /** Returns whether what a peer reports is newer than the current entry. */
+  private isNewerThan(
+    current: EndpointEntry,
+    entry: EndpointEntry,
+    isTracked: boolean,
+  ): boolean {
+    if (isTracked && !isLaterStart(entry, current)) {
+      return false;
+    }
+    return (
+      isNewer(entry, current) &&
+      this.incarnations.findReplaced(entry) === undefined
     );
   }
 
@@ -432,9 +492,10 @@
     }: {reason?: LeavingReason; goneSequence?: number} = {},
   ): void {
     this.recordSoftware(entry);
+    const heardAt = this.findCurrent(entry.id)?.heardAt ?? this.options.now();
     this.tracked.delete(entry.id);
     const removedAt = this.options.now();
-    this.removed.set(entry.id, {entry, removedAt, goneSequence});
+    this.removed.set(entry.id, {entry, heardAt, removedAt, goneSequence});
     this.readyByService.clear();
     if (entry.state !== 'draining') {
       this.options.onLeaving(entry, reason);
@@ -442,21 +503,6 @@
   }
 }
 
-/**
- * Returns whether two entries of an endpoint are of the same incarnation. An
- * endpoint has other software only after a restart, also if it does not state
- * when it started.
- */
-export function isOfSameIncarnation(
-  entry: EndpointEntry,
-  lastEntry: EndpointEntry,
-): boolean {
-  return (
-    entry.startedAt === lastEntry.startedAt &&
-    entry.softwareVersion === lastEntry.softwareVersion
-  );
-}
-
 /**
  * Returns whether an entry shows that an endpoint lives after its last known one:
  * a later start, or a later entry of an incarnation that has not announced its
@@ -472,13 +518,14 @@
   );
 }
 
-/**
- * Returns whether an entry is older than the last one of its incarnation, by
- * its sequence number or because the incarnation is already draining.
- */
-function isStale(entry: EndpointEntry, lastEntry: EndpointEntry): boolean {
-  const isReactivation =
-    lastEntry.state === 'draining' && entry.state === 'ready';
-  const isOlder = (entry.sequence ?? 0) < (lastEntry.sequence ?? 0);
-  return isReactivation || isOlder;
+/** Returns whether an entry states a later start than another one. */
+function isLaterStart(
+  {startedAt}: EndpointEntry,
+  {startedAt: otherStart}: EndpointEntry,
+): boolean {
+  return (
+    startedAt !== undefined &&
+    otherStart !== undefined &&
+    startedAt > otherStart
+  );
 }
--- a/packages/coordination/src/is_later_incarnation/is_later_incarnation.test.ts
+++ b/packages/coordination/src/is_later_incarnation/is_later_incarnation.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
-import type {EndpointEntry} from '../endpoint_registry/endpoint_registry.js';
+import type {EndpointEntry} from '../endpoint_entry/endpoint_entry.js';
 import {isLaterIncarnation} from './is_later_incarnation.js';
 
 const ENTRY: EndpointEntry = {
--- a/packages/coordination/src/is_later_incarnation/is_later_incarnation.ts
+++ b/packages/coordination/src/is_later_incarnation/is_later_incarnation.ts
@@ -1,10 +1,8 @@
 /**
  * Compares the incarnations of an endpoint.
  */
-import {
-  isOfSameIncarnation,
-  type EndpointEntry,
-} from '../endpoint_registry/endpoint_registry.js';
+import type {EndpointEntry} from '../endpoint_entry/endpoint_entry.js';
+import {isOfSameIncarnation} from '../is_of_same_incarnation/is_of_same_incarnation.js';
 
 /**
  * Returns whether an entry is of a later incarnation than another one of the same
--- a/packages/daemon/src/machine/follow_store.ts
+++ b/packages/daemon/src/machine/follow_store.ts
@@ -309,10 +309,11 @@
   );
   records.forEach(({key}, index) => {
     const entry = entries[index];
+    const lastEntry = lastEntries.get(key);
     if (entry === undefined) {
-      endpoints.remove(key, lastEntries.get(key));
+      endpoints.remove(key, lastEntry);
     } else {
-      endpoints.put(entry);
+      endpoints.put(entry, lastEntry);
     }
   });
 }
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -4,6 +4,7 @@
  */
 import {
   AwaitedRead,
+  createDeparture,
   StalenessTracker,
   SuspicionTable,
   MONOTONIC_CLOCK,
@@ -166,10 +167,9 @@
       components.loads.removeAverages(entry.id);
       components.limits.remove(entry.id);
       recordEndpointEnd(components.quarantine, entry, reason);
-      // Each gateway reports only what it knows itself.
-      if (reason !== 'told_by_peer') {
-        const hasNotice = reason !== 'entry_removed';
-        state.departures.add({...entry, hasNotice});
+      const departure = createDeparture(entry, reason);
+      if (departure !== undefined) {
+        state.departures.add(departure);
       }
       runTask('evacuation', logger, () => evacuate(entry, gateway, mesh));
     },
--- a/packages/forwarding/src/endpoint_doubts/endpoint_doubts.test.ts
+++ b/packages/forwarding/src/endpoint_doubts/endpoint_doubts.test.ts
@@ -25,11 +25,18 @@
 
 describe('EndpointDoubts', () => {
   let current: EndpointEntry | undefined;
+  let competingSoftware: string | undefined;
   let doubts: EndpointDoubts;
 
   beforeEach(() => {
     current = ENTRY;
-    doubts = new EndpointDoubts({find: () => current});
+    competingSoftware = undefined;
+    doubts = new EndpointDoubts({
+      find: () => current,
+      mayHaveOtherSoftware: ({softwareVersion}) =>
+        competingSoftware !== undefined &&
+        competingSoftware !== softwareVersion,
+    });
   });
 
   it('has none without a refusal', () => {
@@ -41,6 +48,13 @@
     assert.equal(doubts.isInDoubt(ENTRY), true);
   });
 
+  it('doubts an entry while another one with other software may be newer', () => {
+    competingSoftware = 'v2';
+    assert.equal(doubts.isInDoubt(ENTRY), true);
+    competingSoftware = 'v1';
+    assert.equal(doubts.isInDoubt(ENTRY), false);
+  });
+
   it('doubts nothing once the incarnation has written again', () => {
     doubts.recordRefusal(ENTRY);
     current = {...ENTRY, sequence: 6};
--- a/packages/forwarding/src/endpoint_doubts/endpoint_doubts.ts
+++ b/packages/forwarding/src/endpoint_doubts/endpoint_doubts.ts
@@ -19,7 +19,12 @@
   /**
    * @param endpoints - Newest entries
    */
-  constructor(private readonly endpoints: Pick<EndpointRegistry, 'find'>) {}
+  constructor(
+    private readonly endpoints: Pick<
+      EndpointRegistry,
+      'find' | 'mayHaveOtherSoftware'
+    >,
+  ) {}
 
   /** Records that nothing listened at the address of an endpoint. */
   recordRefusal(endpoint: EndpointEntry): void {
@@ -35,6 +40,9 @@
    * its entry says.
    */
   isInDoubt(endpoint: EndpointEntry): boolean {
+    if (this.endpoints.mayHaveOtherSoftware(endpoint)) {
+      return true;
+    }
     const refused = this.refused.get(endpoint.id);
     if (refused === undefined || !isOfSameIncarnation(refused, endpoint)) {
       return false;
