Let no stream go on at an endpoint whose software is in doubt

Cause: EndpointDoubts knew that the server had refused connections, but only a stream that begins asked it. Where a stream goes on, the version of the old entry was taken as it is; and only the gateway that was refused a connection knew of the doubt.

Change: EndpointEligibility and pinStreamOrigin ask isInDoubt wherever a stream begins, goes on, is taken up or resumes from a checkpoint. A doubt is reported to the other gateways for 2.5 s.

--- a/packages/daemon/src/machine/create_forwarding_context.ts
+++ b/packages/daemon/src/machine/create_forwarding_context.ts
@@ -26,6 +26,7 @@
   MemoryBudget,
   computeMemoryLimit,
   StreamOrigins,
+  type EndpointDoubt,
   type ForwardingContext,
   type OriginTransport,
 } from '@briarpin/forwarding';
@@ -50,6 +51,7 @@
   readonly onReady: (entry: EndpointEntry, source: EntrySource) => void;
   readonly onWorkStarted: () => void;
   readonly onSuspicion: (record: SuspicionRecord) => void;
+  readonly onDoubt: (doubt: EndpointDoubt) => void;
   readonly originTransport: () => OriginTransport;
   readonly reachableGateways: () => readonly string[];
 }
@@ -74,6 +76,7 @@
     onReady,
     onWorkStarted,
     onSuspicion,
+    onDoubt,
     originTransport,
     reachableGateways,
   }: ForwardingCallbacks,
@@ -92,7 +95,20 @@
     logger,
     onLimitedRequest: onWorkStarted,
   });
-  const doubts = new EndpointDoubts(endpoints);
+  const identify = ({service, ...address}: EndpointEntry) => {
+    const described = state.storeState.configuration?.services.get(service);
+    return identifyEndpoint({
+      address,
+      healthPath: described?.healthPath ?? '/',
+      isEngine: described?.engine !== undefined,
+    });
+  };
+  const doubts = new EndpointDoubts({
+    endpoints,
+    now: () => clock.now(),
+    identify,
+    onDoubt,
+  });
   const probe = async (endpoint: EndpointEntry) => {
     const state = await probeListener(endpoint);
     if (state === 'not_listening') {
@@ -113,14 +129,7 @@
   });
   const endpointEnds = new EndpointEnds({
     endpoints,
-    identify: ({service, ...address}) => {
-      const described = state.storeState.configuration?.services.get(service);
-      return identifyEndpoint({
-        address,
-        healthPath: described?.healthPath ?? '/',
-        isEngine: described?.engine !== undefined,
-      });
-    },
+    identify,
     onEnded: endpoint => {
       doubts.recordRefusal(endpoint);
       quarantine.recordEnd(endpoint);
@@ -150,6 +159,7 @@
     coldEndpoints,
     eligibility: new EndpointEligibility({
       endpoints,
+      doubts,
       limits,
       configuration: () => state.storeState.configuration,
       evacuatedZones: state.evacuatedZones,
--- a/packages/daemon/src/machine/endpoint_messages.ts
+++ b/packages/daemon/src/machine/endpoint_messages.ts
@@ -2,7 +2,12 @@
  * Converts endpoint entries to and from the reports among gateways.
  */
 import type {EndpointDeparture, EndpointEntry} from '@briarpin/coordination';
-import type {ArrivedEndpoint, LeavingEndpoint} from '@briarpin/messages';
+import type {EndpointDoubt} from '@briarpin/forwarding';
+import type {
+  ArrivedEndpoint,
+  DoubtfulEndpoint,
+  LeavingEndpoint,
+} from '@briarpin/messages';
 import {isUsableAddress} from '@briarpin/settings';
 
 /** Value in a report for the start time of an endpoint that has none. */
@@ -33,6 +38,39 @@
   return startedAt === UNKNOWN_START_TIME ? undefined : startedAt;
 }
 
+/**
+ * Converts a doubt about an endpoint. A missing sequence number becomes 0.
+ *
+ * @param doubt - The doubt
+ * @param ageMilliseconds - Time since it was found, a whole number
+ */
+export function toDoubtfulEndpoint(
+  {
+    id,
+    startedAt = UNKNOWN_START_TIME,
+    softwareVersion,
+    sequence = 0,
+  }: EndpointDoubt,
+  ageMilliseconds: number,
+): DoubtfulEndpoint {
+  return {endpoint: id, startedAt, softwareVersion, sequence, ageMilliseconds};
+}
+
+/**
+ * Restores a doubt about an endpoint.
+ *
+ * @param doubtful - The message
+ * @param receivedAt - Time when it was received, on the monotonic clock
+ */
+export function fromDoubtfulEndpoint(
+  doubtful: DoubtfulEndpoint,
+  receivedAt: number,
+): EndpointDoubt {
+  const {endpoint: id, startedAt, ageMilliseconds, ...doubt} = doubtful;
+  const foundAt = receivedAt - ageMilliseconds;
+  return {...doubt, id, startedAt: fromStartTime(startedAt), foundAt};
+}
+
 /**
  * Converts the entry of an endpoint that accepts work. The warm-up time is
  * rounded to whole milliseconds, and a missing sequence number becomes 0.
--- a/packages/daemon/src/machine/exchange_reports.ts
+++ b/packages/daemon/src/machine/exchange_reports.ts
@@ -11,8 +11,10 @@
 
 import {
   fromArrivedEndpoint,
+  fromDoubtfulEndpoint,
   fromLeavingEndpoint,
   toArrivedEndpoint,
+  toDoubtfulEndpoint,
   toLeavingEndpoint,
 } from './endpoint_messages.js';
 import type {MachineState} from './machine_state.js';
@@ -52,6 +54,11 @@
     leaving: state.departures.list().map(toLeavingEndpoint),
     arrived: state.arrivals.list().map(toArrivedEndpoint),
     suspicions: selectReportedSuspicions(state.recentSuspicions.list(), now),
+    doubtful: state.recentDoubts
+      .list()
+      .map(doubt =>
+        toDoubtfulEndpoint(doubt, toReportedAge(now - doubt.foundAt)),
+      ),
     limits: limits.createReport(),
     organisationWork: organisationWork.createReport(),
     endpointsAgeMilliseconds: toReportedAge(now - state.endpointsReadAt),
@@ -98,6 +105,7 @@
   {
     loads,
     endpoints,
+    doubts,
     limits,
     gatewayReturns,
     engineQueue,
@@ -106,6 +114,7 @@
     ForwardingContext,
     | 'loads'
     | 'endpoints'
+    | 'doubts'
     | 'limits'
     | 'gatewayReturns'
     | 'engineQueue'
@@ -140,6 +149,9 @@
   report.leaving.forEach(leaving =>
     endpoints.applyDeparture(fromLeavingEndpoint(leaving)),
   );
+  report.doubtful.forEach(doubtful =>
+    doubts.applyReport(fromDoubtfulEndpoint(doubtful, report.receivedAt)),
+  );
   evictSilentGateways(mesh, {loads, organisationWork});
   organisationWork
     .applyReport(report)
--- a/packages/daemon/src/machine/machine_state.ts
+++ b/packages/daemon/src/machine/machine_state.ts
@@ -10,6 +10,7 @@
   StalenessTracker,
   SuspicionTable,
 } from '@briarpin/coordination';
+import type {EndpointDoubt} from '@briarpin/forwarding';
 import type {SuspicionRecord} from '@briarpin/messages';
 
 import type {StoreState} from './follow_store.js';
@@ -38,6 +39,8 @@
   readonly suspicionTable: SuspicionTable;
   /** Suspicions that changed here recently; included in reports. */
   readonly recentSuspicions: ExpiringList<SuspicionRecord>;
+  /** Endpoints that were recently found to be in doubt; included in reports. */
+  readonly recentDoubts: ExpiringList<EndpointDoubt>;
   /** Reads of the endpoints that requests wait for. */
   readonly endpointsRead: AwaitedRead;
   /** Time of the last read of the endpoints, on the monotonic clock. */
--- a/packages/daemon/src/machine/wire_machine.ts
+++ b/packages/daemon/src/machine/wire_machine.ts
@@ -60,6 +60,9 @@
 /** Time for which reports include a suspicion; like that of a departure. */
 const SUSPICION_REPORT_MILLISECONDS = 2_500;
 
+/** Time for which reports include an endpoint in doubt; like that of a departure. */
+const DOUBT_REPORT_MILLISECONDS = 2_500;
+
 /** Handle of a running gateway. */
 export interface RunningMachine {
   readonly logger: EventLogger;
@@ -138,6 +141,7 @@
       MONOTONIC_CLOCK,
       SUSPICION_REPORT_MILLISECONDS,
     ),
+    recentDoubts: new ExpiringList(MONOTONIC_CLOCK, DOUBT_REPORT_MILLISECONDS),
     endpointsRead: new AwaitedRead({
       clock: MONOTONIC_CLOCK,
       time: stalenessTracker,
@@ -199,6 +203,15 @@
       state.recentSuspicions.add(record);
       mesh.broadcast();
     },
+    onDoubt: doubt => {
+      logger.info('endpoint_in_doubt', {
+        endpoint: doubt.id,
+        software: doubt.softwareVersion,
+        sequence: doubt.sequence,
+      });
+      state.recentDoubts.add(doubt);
+      mesh.broadcast();
+    },
     originTransport: () => ({
       reachableGateways: mesh.reachableGateways,
       knownGateways: mesh.knownGateways,
--- a/packages/forwarding/src/endpoint_eligibility/eligibility_fixture.ts
+++ b/packages/forwarding/src/endpoint_eligibility/eligibility_fixture.ts
@@ -36,6 +36,7 @@
         ),
       hasOtherSoftware: () => false,
     },
+    doubts: {isInDoubt: () => false},
     limits: {
       hasCapacity: () => true,
       isLimited: () => false,
--- a/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
+++ b/packages/forwarding/src/endpoint_eligibility/endpoint_eligibility.ts
@@ -9,6 +9,7 @@
 } from '@briarpin/coordination';
 
 import type {ColdEndpoints} from '../cold_endpoints/cold_endpoints.js';
+import type {EndpointDoubts} from '../endpoint_doubts/endpoint_doubts.js';
 import type {EndpointLimits} from '../endpoint_limits/endpoint_limits.js';
 import type {Exchange} from '../exchange/exchange.js';
 import {resolveAllowedRegions} from '../resolve_allowed_regions/resolve_allowed_regions.js';
@@ -34,6 +35,8 @@
 /** Options of {@link EndpointEligibility}. */
 export interface EndpointEligibilityOptions {
   readonly endpoints: Pick<EndpointRegistry, 'findReady' | 'hasOtherSoftware'>;
+  /** Tells whether the software of an endpoint is known. */
+  readonly doubts: Pick<EndpointDoubts, 'isInDoubt'>;
   readonly limits: Pick<
     EndpointLimits,
     | 'hasCapacity'
@@ -71,18 +74,20 @@
 
   /**
    * Finds the ready endpoints at which a request may run: those in its allowed
-   * regions, in no evacuated zone and, once its stream has begun, of the software
-   * version at which it began.
+   * regions, in no evacuated zone and, once its stream has begun, known to be of the
+   * software version at which it began.
    */
   find(request: EligibilityRequest): EligibleEndpoints {
     const {origin, service} = request;
+    const {doubts} = this.options;
     const isPermitted = this.createFilter(request);
     return this.options.endpoints
       .findReady(service.name)
       .filter(
         (entry): entry is EligibleEndpoint =>
           isPermitted(entry) &&
-          (origin === undefined || isAtOrigin(entry, origin)),
+          (origin === undefined ||
+            (isAtOrigin(entry, origin) && !doubts.isInDoubt(entry))),
       );
   }
 
--- a/packages/forwarding/src/forwarding_context/forwarding_context.ts
+++ b/packages/forwarding/src/forwarding_context/forwarding_context.ts
@@ -70,7 +70,10 @@
   readonly retryBudgets: RetryBudgets;
   readonly quarantine: CrashQuarantine;
   /** Endpoints that may have been replaced by later incarnations. */
-  readonly doubts: Pick<EndpointDoubts, 'isInDoubt'>;
+  readonly doubts: Pick<
+    EndpointDoubts,
+    'isInDoubt' | 'recordBreak' | 'applyReport'
+  >;
   /** How long requests have taken. */
   readonly durations: RequestDurations;
   /** Software versions at which the streams of all gateways began. */
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.test.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.test.ts
@@ -60,6 +60,7 @@
       ],
       leaving: [{endpoint: 'e-2', startedAt: 3, hasNotice: true, sequence: 3}],
       arrived: [ARRIVED],
+      doubtful: [],
       suspicions: [],
       limits: [],
       organisationWork: [{organisation: 'north', tokens: 8}],
--- a/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
+++ b/packages/forwarding/src/gateway_mesh/gateway_mesh.ts
@@ -8,6 +8,7 @@
   GatewayNews,
   type ArrivedEndpoint,
   type CrashSuspicion,
+  type DoubtfulEndpoint,
   type EndpointLimit,
   type EndpointWork,
   type LeavingEndpoint,
@@ -32,6 +33,8 @@
   readonly leaving: readonly LeavingEndpoint[];
   /** Endpoints that it recently read from the store for the first time. */
   readonly arrived: readonly ArrivedEndpoint[];
+  /** Endpoints that it recently found to be in doubt. */
+  readonly doubtful: readonly DoubtfulEndpoint[];
   /** Crashes that it recently observed, and requests cleared of them. */
   readonly suspicions: readonly CrashSuspicion[];
   /** Limits that endpoints stated to it, and its requests under them. */
@@ -57,6 +60,7 @@
   readonly work: EndpointWork[];
   readonly leaving: LeavingEndpoint[];
   readonly arrived: ArrivedEndpoint[];
+  readonly doubtful: DoubtfulEndpoint[];
   readonly suspicions: CrashSuspicion[];
   readonly limits: EndpointLimit[];
   readonly organisationWork: OrganisationWork[];
--- a/packages/forwarding/src/pin_stream_origin/pin_stream_origin.ts
+++ b/packages/forwarding/src/pin_stream_origin/pin_stream_origin.ts
@@ -25,21 +25,25 @@
  * @param exchange - The request; receives the origin
  * @param context - Shared context of the gateway
  * @param endpoint - Entry of the endpoint when it was selected
+ * @param options - Whether the endpoint goes on from the memory of the run, which
+ *   it holds only if it has not been started again
  * @returns False if the event must not reach the caller, as the endpoint now has
- *   other software than when it was selected
+ *   other software than when it was selected, or may have
  */
 export function pinStreamOrigin(
   exchange: Exchange,
   {endpoints, doubts, streamOrigins, clock}: OriginPinContext,
   endpoint: EndpointEntry,
+  {hasMemory = false}: {readonly hasMemory?: boolean} = {},
 ): boolean {
   if (endpoints.hasOtherSoftware(endpoint)) {
     return false;
   }
+  const isInDoubt = doubts.isInDoubt(endpoint);
   if (exchange.origin !== undefined) {
-    return true;
+    return hasMemory || !isInDoubt;
   }
-  const softwareVersion = doubts.isInDoubt(endpoint)
+  const softwareVersion = isInDoubt
     ? UNKNOWN_SOFTWARE_VERSION
     : endpoint.softwareVersion;
   setOrigin(exchange, {streamOrigins, clock}, softwareVersion, endpoint);
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -2,6 +2,7 @@
  * An event stream to one caller, served by one engine or by several in turn.
  */
 import type {EndpointEntry} from '@briarpin/coordination';
+import {runTask} from '@briarpin/telemetry';
 
 import {
   chooseCheckpointHolder,
@@ -160,6 +161,7 @@
         return this.complete(end.remainder);
       }
       this.recordInterrupted(stream.endpoint);
+      this.recordBreak(stream.endpoint);
       recordBrokenStream(this.context.loads, stream);
       opened = await this.resumeBrokenStream(stream, end);
     }
@@ -237,6 +239,12 @@
     this.context.quarantine.recordInterrupted(this.exchange, endpoint);
   }
 
+  /** Finds out whether an endpoint that broke a stream off was started again. */
+  private recordBreak(endpoint: EndpointEntry): void {
+    const {doubts, logger} = this.context;
+    runTask('endpoint_doubt', logger, () => doubts.recordBreak(endpoint));
+  }
+
   /** Logs how a stream ended that has neither a length nor chunks. */
   private logUnframedEnd(stream: EndpointStream, end: EndpointStreamEnd): void {
     if (stream.framing !== 'connection') {
@@ -432,7 +440,9 @@
         countedWork.recordEvents(batch.eventCount);
         if (
           stream.receivedEvents === 0 &&
-          !pinStreamOrigin(exchange, context, endpoint)
+          !pinStreamOrigin(exchange, context, endpoint, {
+            hasMemory: resumePoint.memorySource !== undefined,
+          })
         ) {
           stream.stop('the endpoint came back with other software');
           return undefined;
--- a/packages/messages/src/index.ts
+++ b/packages/messages/src/index.ts
@@ -20,6 +20,7 @@
 export {
   GatewayNews,
   type ArrivedEndpoint,
+  type DoubtfulEndpoint,
   type CrashSuspicion,
   type EndpointLimit,
   type EndpointWork,
--- a/packages/stand_ins/src/bench/simulate_evacuation.ts
+++ b/packages/stand_ins/src/bench/simulate_evacuation.ts
@@ -415,6 +415,7 @@
     coldEndpoints,
     eligibility: new EndpointEligibility({
       endpoints,
+      doubts: {isInDoubt: () => false},
       limits,
       configuration: doNothing,
       evacuatedZones: new Set(),
