End the search for an engine when a target may work on a moved run

Cause: resumeMovedRun tried the holders of the memory in turn, whatever the failure was. All other loops ask permitRetry.

Change: hasSurelyNotRun says of a failed attempt whether it has surely not run; the loop of moved runs and permitRetry's caller for streams consume it.

--- a/packages/forwarding/src/open_result/open_result.ts
+++ b/packages/forwarding/src/open_result/open_result.ts
@@ -30,6 +30,17 @@
   /** A signed error response of the engine. */
   | (BufferedResponse & {readonly kind: 'failure_answer'});
 
+/**
+ * Returns whether a failed attempt has surely not run, so that the request may be
+ * sent to another endpoint whatever its kind. An attempt that may have run ends the
+ * search for an endpoint unless the request may be repeated.
+ *
+ * @param failure - The failed attempt
+ */
+export function hasSurelyNotRun(failure: OpenFailure): boolean {
+  return failure.kind === 'failed' && !failure.mayHaveRun;
+}
+
 /**
  * Returns true for a signed success response, which carries a stream of the
  * engine.
--- a/packages/forwarding/src/stream_session/stream_session.ts
+++ b/packages/forwarding/src/stream_session/stream_session.ts
@@ -20,6 +20,7 @@
 import type {Exchange, ExchangeResult} from '../exchange/exchange.js';
 import type {ForwardingContext} from '../forwarding_context/forwarding_context.js';
 import {
+  hasSurelyNotRun,
   isEventStream,
   isStreamResponse,
   readFailure,
@@ -261,7 +262,7 @@
   private mayRetry(opened: OpenResult): boolean {
     const {exchange, context, sendCount} = this;
     return permitRetry(exchange, context, {
-      isNotRun: opened.kind === 'failed' && !opened.mayHaveRun,
+      isNotRun: opened.kind !== 'leg' && hasSurelyNotRun(opened),
       isIdempotent: exchange.route.isResumable,
       sendCount,
       wasSent: opened.kind !== 'failed' || opened.wasSent,
@@ -308,8 +309,8 @@
 
   /**
    * Resumes a run that was stopped to be moved, from the copy of its memory.
-   * Falls back to the source if the target opens no stream and the source has
-   * not been lost.
+   * Falls back to the source if the target has surely not begun to work on it and
+   * the source has not been lost.
    */
   private async resumeMovedRun(
     stream: EndpointStream,
@@ -337,7 +338,7 @@
       }
       opened = await this.open({endpoint, memorySource});
       this.logResumption(endpoint, opened);
-      if (opened.kind === 'leg') {
+      if (opened.kind === 'leg' || !hasSurelyNotRun(opened)) {
         break;
       }
     }
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -328,6 +328,14 @@
     to: 'Promise.resolve()',
     test: 'machine/restarted_engines',
   },
+  {
+    promise: 'a non-idempotent request runs at most once',
+    mechanism: 'a target that may work on a moved run ends the search',
+    file: 'packages/forwarding/dist/stream_session/stream_session.js',
+    from: '|| !hasSurelyNotRun(opened)',
+    to: '',
+    test: 'machine/moved_runs',
+  },
   {
     promise: 'live endpoints are used',
     mechanism: 'a late entry of an earlier incarnation is no restart',
