--- a/packages/coordination/src/create_departure/create_departure.test.ts
+++ b/packages/coordination/src/create_departure/create_departure.test.ts
@@ -5,25 +5,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 
-import type {
-  EndpointEntry,
-  LeavingReason,
-} from '../endpoint_entry/endpoint_entry.js';
+import type {LeavingReason} from '../endpoint_entry/endpoint_entry.js';
+import {createTestEntry} from '../endpoint_entry/endpoint_entry_fixture.js';
 import {createDeparture} from './create_departure.js';
 
-const ENTRY: EndpointEntry = {
-  id: 'a',
-  service: 'text',
-  host: '10.0.0.1',
-  port: 8_000,
-  availabilityZone: 'a',
-  softwareVersion: 'v1',
-  state: 'ready',
-  slots: 4,
-  coldMilliseconds: 0,
-  startedAt: 20,
-  sequence: 5,
-};
+const ENTRY = createTestEntry({startedAt: 20, sequence: 5});
 
 describe('createDeparture', () => {
   const cases: ReadonlyArray<[LeavingReason, boolean]> = [
--- a/packages/coordination/src/endpoint_incarnations/endpoint_incarnations.test.ts
+++ b/packages/coordination/src/endpoint_incarnations/endpoint_incarnations.test.ts
@@ -6,24 +6,13 @@
 import {beforeEach, describe, it} from 'node:test';
 
 import type {EndpointEntry} from '../endpoint_entry/endpoint_entry.js';
+import {createTestEntry} from '../endpoint_entry/endpoint_entry_fixture.js';
 import {EndpointIncarnations} from './endpoint_incarnations.js';
 
 const RETENTION_MILLISECONDS = 120_000;
 
 function createEntry(startedAt: number, sequence = 1): EndpointEntry {
-  return {
-    id: 'a',
-    service: 'text',
-    host: '10.0.0.1',
-    port: 8_000,
-    availabilityZone: 'a',
-    softwareVersion: 'v1',
-    state: 'ready',
-    slots: 4,
-    coldMilliseconds: 0,
-    startedAt,
-    sequence,
-  };
+  return createTestEntry({startedAt, sequence});
 }
 
 describe('EndpointIncarnations', () => {
--- a/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry.test.ts
@@ -7,24 +7,13 @@
 import {beforeEach, describe, it} from 'node:test';
 
 import type {EndpointEntry} from '../endpoint_entry/endpoint_entry.js';
+import {createTestEntry} from '../endpoint_entry/endpoint_entry_fixture.js';
 import {EndpointRegistry} from './endpoint_registry.js';
 
 const HEARTBEAT_MILLISECONDS = 1_200;
 
 function createEntry(id: string, change?: Partial<EndpointEntry>) {
-  return {
-    id,
-    service: 'text',
-    host: '10.0.0.1',
-    port: 8_000,
-    availabilityZone: 'a',
-    state: 'ready' as const,
-    slots: 4,
-    softwareVersion: 'v1',
-    coldMilliseconds: 0,
-    startedAt: 1,
-    ...change,
-  };
+  return createTestEntry({id, startedAt: 1, ...change});
 }
 
 function createRegistry() {
--- a/packages/coordination/src/endpoint_registry/endpoint_registry_model.test.ts
+++ b/packages/coordination/src/endpoint_registry/endpoint_registry_model.test.ts
@@ -13,6 +13,7 @@
   EndpointDeparture,
   EndpointEntry,
 } from '../endpoint_entry/endpoint_entry.js';
+import {createTestEntry} from '../endpoint_entry/endpoint_entry_fixture.js';
 import {EndpointRegistry} from './endpoint_registry.js';
 
 const STEP_MILLISECONDS = 100;
@@ -89,19 +90,10 @@
   private reportsLostUntil = 0;
 
   constructor(processCount: number) {
-    this.current = {
-      id: 'a',
-      service: 'text',
-      host: '10.0.0.1',
-      port: 8_000,
-      availabilityZone: 'a',
-      softwareVersion: 'v1',
-      state: 'ready',
-      slots: 4,
-      coldMilliseconds: 0,
+    this.current = createTestEntry({
       startedAt: this.latestStart,
       sequence: 0,
-    };
+    });
     this.processes = Array.from({length: processCount}, (_, index) =>
       this.createProcess(index < READER_COUNT),
     );
--- a/packages/coordination/src/is_later_incarnation/is_later_incarnation.test.ts
+++ b/packages/coordination/src/is_later_incarnation/is_later_incarnation.test.ts
@@ -6,20 +6,10 @@
 import {describe, it} from 'node:test';
 
 import type {EndpointEntry} from '../endpoint_entry/endpoint_entry.js';
+import {createTestEntry} from '../endpoint_entry/endpoint_entry_fixture.js';
 import {isLaterIncarnation} from './is_later_incarnation.js';
 
-const ENTRY: EndpointEntry = {
-  id: 'a',
-  service: 'desk',
-  host: '10.0.0.1',
-  port: 1,
-  availabilityZone: 'east-1',
-  softwareVersion: 'v1',
-  state: 'ready',
-  slots: 1,
-  coldMilliseconds: 0,
-  startedAt: 10,
-};
+const ENTRY = createTestEntry({startedAt: 10});
 
 describe('isLaterIncarnation', () => {
   const cases: ReadonlyArray<[string, Partial<EndpointEntry>, boolean]> = [
--- a/packages/coordination/src/judge_entry/judge_entry.test.ts
+++ b/packages/coordination/src/judge_entry/judge_entry.test.ts
@@ -7,23 +7,12 @@
 import {describe, it} from 'node:test';
 
 import type {EndpointEntry} from '../endpoint_entry/endpoint_entry.js';
+import {createTestEntry} from '../endpoint_entry/endpoint_entry_fixture.js';
 import {judgeEntry, type EntryContext} from './judge_entry.js';
 
 const HEARTBEAT_MILLISECONDS = 1_000;
 
-const CURRENT: EndpointEntry = {
-  id: 'a',
-  service: 'text',
-  host: '10.0.0.1',
-  port: 8_000,
-  availabilityZone: 'a',
-  softwareVersion: 'v1',
-  state: 'ready',
-  slots: 4,
-  coldMilliseconds: 0,
-  startedAt: 20,
-  sequence: 5,
-};
+const CURRENT = createTestEntry({startedAt: 20, sequence: 5});
 
 const EARLIER: EndpointEntry = {...CURRENT, startedAt: 10, sequence: 9};
 
