Keep a failure to forward events to its stream

Cause: StreamWriter writes the head with the first event. Node.js throws ERR_INVALID_CHAR there, in a data listener of the endpoint's connection, where nobody catches it. A call writes its head in a promise, so only that call is cut.

Ruled out: the parser (its errors are events with a listener), and reading the head.

Change: EndpointStream breaks its stream off when handling its bytes throws. Nothing has been sent then, so that the stream may go on elsewhere or fails with 502.

Test: endpoint_stream, "breaks off when its events cannot be forwarded", failed before with the exception itself.

Conclusion: the class is closed for streams whatever throws; the broken heads that still reach callers are the next fault.

--- a/packages/forwarding/src/endpoint_stream/endpoint_stream.test.ts
+++ b/packages/forwarding/src/endpoint_stream/endpoint_stream.test.ts
@@ -1,5 +1,5 @@
 /**
- * Tests the pauses of an endpoint's stream.
+ * Tests the pauses of an endpoint's stream, and the failure to forward its events.
  *
  * Guards against a wait for memory of this gateway that counts as the time
  * between two events of the engine, and against a stream that stays paused.
@@ -69,4 +69,21 @@
     resume();
     assert.equal((await end).kind, 'complete');
   });
+
+  // Guards against an exception in a listener of the connection, which would end
+  // the process with all its other requests.
+  it('breaks off when its events cannot be forwarded', async () => {
+    const {source, budget, stream} = createStream(() => {
+      throw new Error('the head has a field that cannot be sent');
+    });
+    const end = stream.run();
+    source.write('data: a\n\ndata: b');
+    assert.deepEqual(await end, {
+      kind: 'broken',
+      reason:
+        'its events were not forwarded: the head has a field that cannot be sent',
+    });
+    assert.equal(source.destroyed, true);
+    assert.equal(budget.heldBytes, 0);
+  });
 });
--- a/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
+++ b/packages/forwarding/src/endpoint_stream/endpoint_stream.ts
@@ -114,7 +114,7 @@
         resolve(end);
       };
       collectChunks(response, (bytes, chunkCount) =>
-        this.handleBytes(bytes, chunkCount),
+        this.handleBytesSafely(bytes, chunkCount),
       );
       response.on('end', () => {
         this.hasEnded = true;
@@ -183,6 +183,19 @@
       : {kind: 'broken', reason: 'the stream broke off'};
   }
 
+  /**
+   * Handles bytes; a failure breaks this stream off. An exception here would end
+   * the process, as a listener of the connection throws it.
+   */
+  private handleBytesSafely(bytes: Buffer, chunkCount: number): void {
+    try {
+      this.handleBytes(bytes, chunkCount);
+    } catch (error) {
+      const text = error instanceof Error ? error.message : String(error);
+      this.stop(`its events were not forwarded: ${text}`);
+    }
+  }
+
   private handleBytes(bytes: Buffer, chunkCount: number): void {
     if (this.isStopped) {
       return;
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -232,6 +232,14 @@
     to: 'false',
     test: 'machine/stream_versions',
   },
+  {
+    promise: 'a response of one server delays no other request',
+    mechanism: 'a failure to forward events ends only their stream',
+    file: 'packages/forwarding/dist/endpoint_stream/endpoint_stream.js',
+    from: 'this.handleBytesSafely(bytes, chunkCount)',
+    to: 'this.handleBytes(bytes, chunkCount)',
+    test: 'endpoint_stream/',
+  },
   {
     promise: 'callers get answers only',
     mechanism: 'a response with an odd status is no answer',
