Refuse broken heads of control calls, the store and plain services

What callers saw: a server that had ended an answer without a length answered the health check with a broken head that named another instance, and its whole answer came as 502. In the product's own interface callers got broken answers of plain services, or none.

Ruled out: the store, the log, the membership list and copy calls, whose clients compare statuses and check bodies; datagrams among gateways.

Change: sendHttp asks trackResponseHead; a response with a fault is a call of unknown outcome.

Conclusion: fixed at the one place that all these calls use.

--- a/packages/platform/src/send_http/send_http.test.ts
+++ b/packages/platform/src/send_http/send_http.test.ts
@@ -71,6 +71,27 @@
     assert.match(response.error.message, /without a response/);
   });
 
+  // Guards against what is no answer, which is believed as one.
+  it('fails when the response has an odd status', async () => {
+    const server = http.createServer((_request, response) => {
+      response.socket?.write('HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n');
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const {port} = server.address() as AddressInfo;
+    const response = await sendHttp({
+      url: new URL(`http://127.0.0.1:${port}/`),
+      method: 'GET',
+      timeoutMilliseconds: 5_000,
+      agent: new http.Agent(),
+    });
+    server.close();
+    server.closeAllConnections();
+    assert.ok(response.isErr);
+    assert.equal(response.error.kind, 'unknown');
+    assert.match(response.error.message, /malformed status line/);
+  });
+
   // Guards against a faulty server whose response fills the memory of the process
   // until the call times out.
   it('ends when the response is larger than allowed', async () => {
--- a/packages/platform/src/send_http/send_http.ts
+++ b/packages/platform/src/send_http/send_http.ts
@@ -9,6 +9,7 @@
 import {GrowingBuffer} from '../growing_buffer/growing_buffer.js';
 import {probeListener} from '../probe_listener/probe_listener.js';
 import {trackResponseEnd} from '../track_response_end/track_response_end.js';
+import {trackResponseHead} from '../track_response_head/track_response_head.js';
 
 /** Largest body of a response, in bytes: several of the largest pages of logs. */
 const MAXIMUM_BODY_BYTES = 16_777_216;
@@ -69,6 +70,7 @@
       agent: options.agent,
       signal: options.signal,
     });
+    const head = trackResponseHead(request);
     // The timeout option of `http.request` does not cover the connection setup,
     // and connection attempts to an unreachable peer may be many seconds apart.
     // A timeout is always reported as `unknown`.
@@ -93,6 +95,11 @@
     });
     request.on('response', response => {
       hasResponse = true;
+      if (head.fault !== undefined) {
+        fail(new Error(head.fault));
+        request.destroy();
+        return;
+      }
       readCompleteBody(response, options).then(
         body =>
           settle(
--- a/packages/stand_ins/src/engine/engine_stand_in.ts
+++ b/packages/stand_ins/src/engine/engine_stand_in.ts
@@ -6,6 +6,7 @@
 
 import type {EngineOrder} from '@briarpin/messages';
 
+import type {BrokenAnswerCycle} from '../http/broken_answer_cycle.js';
 import {
   readJson,
   sendJson,
@@ -17,6 +18,7 @@
 const CHARACTERS_PER_TOKEN = 4;
 const PROMPT_WITH_LENGTH_AND_SEED = /\blen=(\d+) seed=(\d+)/;
 const CRASHING_PROMPT = /\bcrash\b/;
+const BROKEN_PROMPT = /\bbroken\b/;
 const GENERATION_PATH = /^\/v1\/generations\/([^/?]+)/;
 const MINIMUM_HASHED_LENGTH_TOKENS = 8;
 const HASHED_LENGTH_RANGE_TOKENS = 120;
@@ -78,7 +80,8 @@
  * Model engine that generates numbered tokens without running a model.
  *
  * A prompt with `len=<length> seed=<seed>` sets the generated text, and a
- * prompt with the word `crash` crashes the engine.
+ * prompt with the word `crash` crashes the engine. Answers to a prompt with the
+ * word `broken` may be broken.
  */
 export class EngineStandIn {
   private readonly generations = new Map<string, EngineGeneration>();
@@ -94,6 +97,10 @@
   private arrivalCount = 0;
   readonly ledger: LedgerEntry[] = [];
   readonly orders: ReceivedOrder[] = [];
+  /** Answers prompts with the word `broken` while it is set. */
+  brokenAnswers: BrokenAnswerCycle | undefined;
+  /** Answers reads of the load while it is set. */
+  brokenLoads: BrokenAnswerCycle | undefined;
   crashes = 0;
 
   constructor(private readonly options: EngineStandInOptions) {
@@ -187,7 +194,9 @@
         response,
       );
     } else if (url.pathname === '/load') {
-      if (Date.now() >= this.loadUnansweredUntil) {
+      if (this.brokenLoads !== undefined) {
+        await this.brokenLoads.answer(response);
+      } else if (Date.now() >= this.loadUnansweredUntil) {
         sendJson(response, 200, this.load());
       }
     } else if (url.pathname === '/orders') {
@@ -260,6 +269,13 @@
     fromIndex: number,
     response: http.ServerResponse,
   ): void {
+    if (
+      this.brokenAnswers !== undefined &&
+      BROKEN_PROMPT.test(generation.entry.prompt)
+    ) {
+      void this.brokenAnswers.answer(response);
+      return;
+    }
     response.writeHead(200, {'Content-Type': 'text/event-stream'});
     response.flushHeaders();
     const reader: StreamReader = {
--- a/packages/stand_ins/src/fleet/daemon_process.ts
+++ b/packages/stand_ins/src/fleet/daemon_process.ts
@@ -34,14 +34,22 @@
    * @param role - Role of the daemon
    * @param settingsFile - Path of its settings file
    * @param echo - True to copy its log to standard error
+   * @param nodeOptions - Options of Node.js for the process
    */
   constructor(
     readonly instance: string,
     readonly role: 'gateway' | 'sidecar',
     settingsFile: string,
     echo = false,
+    nodeOptions: readonly string[] = [],
   ) {
-    const parameters = [DAEMON_SCRIPT, role, '--settings', settingsFile];
+    const parameters = [
+      ...nodeOptions,
+      DAEMON_SCRIPT,
+      role,
+      '--settings',
+      settingsFile,
+    ];
     this.child = spawn(process.execPath, parameters, {
       stdio: ['ignore', 'ignore', 'pipe'],
     });
--- a/packages/stand_ins/src/fleet/fleet.ts
+++ b/packages/stand_ins/src/fleet/fleet.ts
@@ -55,6 +55,8 @@
   readonly sidecarSettings?: Partial<SidecarSettings>;
   /** True to copy the logs of the daemons to standard error. */
   readonly echo?: boolean;
+  /** Options of Node.js for the daemons. */
+  readonly nodeOptions?: readonly string[];
 }
 
 /** Running gateway and its base URL. */
@@ -319,7 +321,8 @@
   ): DaemonProcess {
     const file = join(this.folder, `${instance}.jsonc`);
     writeFileSync(file, JSON.stringify(settings, undefined, 2));
-    return new DaemonProcess(instance, role, file, this.plan.echo);
+    const {echo, nodeOptions} = this.plan;
+    return new DaemonProcess(instance, role, file, echo, nodeOptions);
   }
 
   private addMember(
--- a/packages/stand_ins/src/invariants/test_plan.ts
+++ b/packages/stand_ins/src/invariants/test_plan.ts
@@ -28,6 +28,7 @@
   readonly configuration?: Readonly<Record<string, unknown>>;
   readonly sidecarSettings?: FleetPlan['sidecarSettings'];
   readonly gatewaySettings?: FleetPlan['gatewaySettings'];
+  readonly nodeOptions?: FleetPlan['nodeOptions'];
 }
 
 /**
@@ -75,6 +76,7 @@
     ).map(instance => ({instance, service: 'plataforma', location: LOCATION})),
     sidecarSettings: options.sidecarSettings,
     gatewaySettings: options.gatewaySettings,
+    nodeOptions: options.nodeOptions,
   };
 }
 
--- a/packages/stand_ins/src/plain_service/plain_service_stand_in.ts
+++ b/packages/stand_ins/src/plain_service/plain_service_stand_in.ts
@@ -3,6 +3,7 @@
  */
 import type http from 'node:http';
 
+import type {BrokenAnswerCycle} from '../http/broken_answer_cycle.js';
 import {
   readJson,
   sendJson,
@@ -13,6 +14,9 @@
 /** Time between the first bytes of a response and its reset. */
 const RESET_DELAY_MILLISECONDS = 20;
 
+/** Part of the paths of calls whose answers may be broken. */
+export const BROKEN_PATH = '/broken-';
+
 /** Call that ran. */
 export interface ServiceLedgerEntry {
   readonly method: string;
@@ -44,6 +48,8 @@
   private responsesWithoutLength = 0;
   private unframedEnd: 'close' | 'reset' = 'close';
   readonly ledger: ServiceLedgerEntry[] = [];
+  /** Answers calls whose paths have {@link BROKEN_PATH}, while it is set. */
+  brokenAnswers: BrokenAnswerCycle | undefined;
 
   /** Starts the server and returns its base URL. */
   async start(port = 0): Promise<string> {
@@ -103,6 +109,10 @@
       response.destroy();
       return;
     }
+    if (this.brokenAnswers !== undefined && path.includes(BROKEN_PATH)) {
+      await this.brokenAnswers.answer(response);
+      return;
+    }
     const answer = {number, path, echo: body ?? null};
     if (this.responsesWithoutLength > 0) {
       this.responsesWithoutLength -= 1;
--- a/packages/stand_ins/src/platform/platform_stand_in.ts
+++ b/packages/stand_ins/src/platform/platform_stand_in.ts
@@ -5,6 +5,7 @@
 
 import type {LogPage, MemberList} from '@briarpin/messages';
 
+import type {BrokenAnswerCycle} from '../http/broken_answer_cycle.js';
 import {
   readJson,
   sendJson,
@@ -54,6 +55,8 @@
   private membershipLagMilliseconds = 0;
   private frozenMembers: MemberList | undefined;
   private listening: ListeningServer | undefined;
+  /** Answers in place of the platform while it is set. */
+  brokenAnswers: BrokenAnswerCycle | undefined;
   /** Number of processed requests, by kind. */
   readonly counts = {append: 0, read: 0, members: 0};
 
@@ -138,6 +141,10 @@
       response.destroy();
       return;
     }
+    if (this.brokenAnswers !== undefined) {
+      await this.brokenAnswers.answer(response);
+      return;
+    }
     const stream = STREAM_PATH.exec(url.pathname)?.[1];
     if (url.pathname === '/members') {
       this.counts.members += 1;
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -248,6 +248,14 @@
     to: 'false',
     test: 'machine/odd_statuses',
   },
+  {
+    promise: 'callers get answers only',
+    mechanism: 'a response to a control call with a broken head is no answer',
+    file: 'packages/platform/dist/send_http/send_http.js',
+    from: 'head.fault !== undefined',
+    to: 'false',
+    test: 'soak/broken_control',
+  },
   {
     promise: 'callers get answers only',
     mechanism: 'a response with a broken head is no answer',
