Take no broken head of an engine for a refusal

What callers saw, in the product's own interface: an engine began a generation, sent a head with the status 000, 099 or 600, and its caller got the outcome "not run".

Cause: EngineClient takes each status but 200 for the error response of an engine that did not run the request, and left it to the parser whether there is a status at all.

Ruled out: the other 91 kinds behind the parser as it is; they are errors of the parser, or a text that is no token.

Change: EngineClient asks trackResponseHead; a response with a fault is a stream that broke off, which may be resumed and is of unknown outcome otherwise.

--- a/packages/daemon/src/engine/engine_client.test.ts
+++ b/packages/daemon/src/engine/engine_client.test.ts
@@ -18,6 +18,10 @@
   let status = 200;
   let writtenBytes = 0;
   const server = http.createServer((_request, response) => {
+    if (status === 0) {
+      response.socket?.end('HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n');
+      return;
+    }
     if (status === 101) {
       response.socket?.end(
         'HTTP/1.1 101 Switching Protocols\r\n' +
@@ -59,6 +63,19 @@
     assert.equal(signal.aborted, false);
   });
 
+  // Guards against a generation that is reported as not run, though its engine has
+  // begun it and sent what is no answer.
+  it('breaks off when the engine answers with an odd status', async () => {
+    status = 0;
+    const {port} = server.address() as AddressInfo;
+    const client = new EngineClient(`http://127.0.0.1:${port}`);
+    const signal = AbortSignal.timeout(2_000);
+    assert.deepEqual(await client.resume('r', 0, signal).end, {
+      kind: 'broken',
+      message: 'the answer has a malformed status line',
+    });
+  });
+
   // Guards against one response of a faulty engine that fills the memory of the
   // sidecar and keeps it from all other requests.
   for (const [description, engineStatus] of [
--- a/packages/daemon/src/engine/engine_client.ts
+++ b/packages/daemon/src/engine/engine_client.ts
@@ -19,6 +19,7 @@
   parseJson,
   readBody,
   sendHttp,
+  trackResponseHead,
   type HttpResponse,
   type HttpRequestError,
 } from '@briarpin/platform';
@@ -171,6 +172,7 @@
         signal,
         headers: {'content-type': 'application/json'},
       });
+      const head = trackResponseHead(request);
       request.on('socket', socket => {
         isConnected = !socket.connecting;
         socket.once('connect', () => (isConnected = true));
@@ -185,6 +187,11 @@
       });
       request.on('response', response => {
         hasResponse = true;
+        if (head.fault !== undefined) {
+          fail(new Error(head.fault));
+          request.destroy();
+          return;
+        }
         readStream(response, chunks).then(resolve, fail);
       });
       request.end(body);
--- a/packages/stand_ins/src/invariants/broken_heads.test.ts
+++ b/packages/stand_ins/src/invariants/broken_heads.test.ts
@@ -139,6 +139,25 @@
       });
     }
 
+    it('of an engine to generations reach no caller', async () => {
+      const answers = new BrokenAnswerCycle();
+      fleet.engine('modelo-1').brokenAnswers = answers;
+      await repeat(answers, async number => {
+        const response = await requestCompletion({
+          gateway: fleet.gatewayUrls[0] ?? '',
+          key: KEY,
+          model: MODEL,
+          prompt: `broken len=10 seed=${number}`,
+          stream: number % 2 === 0,
+          deadlineMilliseconds: DEADLINE_MILLISECONDS,
+        });
+        const label = `after ${answers.answerCount} answers`;
+        assert.ok(!response.text.includes(BROKEN_MARK), label);
+        assert.equal(response.complete, false, label);
+        assert.equal(response.error?.outcome, 'unknown', label);
+      });
+    });
+
     it('of an engine to reads of its load change nothing', async () => {
       const answers = new BrokenAnswerCycle();
       const engine = fleet.engine('modelo-1');
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -256,6 +256,15 @@
     to: 'false',
     test: 'soak/broken_control',
   },
+  {
+    promise:
+      'the outcome "not run" is reported only if the request did not run',
+    mechanism: 'a broken head of an engine is no refusal',
+    file: 'packages/daemon/dist/engine/engine_client.js',
+    from: 'head.fault !== undefined',
+    to: 'false',
+    test: 'invariants/broken_heads',
+  },
   {
     promise: 'callers get answers only',
     mechanism: 'a response with a broken head is no answer',
