End a request of the own interface whose handler throws

What callers saw: a plain service answered with the status 000, and the caller got neither an answer nor the end of its connection.

Cause: writing such a status throws in the handler; runTask logs the exception and nobody ends the response, which counts as open until the caller gives up.

Ruled out: the gateway on the users' machines, which closes such connections already (caller_server).

Change: handle_request closes the connection and logs request_handler_failed.

Test: gateway/handle_request, red before (the caller waits until its timeout of 2 s), green after.

--- a/packages/daemon/src/gateway/handle_request.ts
+++ b/packages/daemon/src/gateway/handle_request.ts
@@ -86,7 +86,28 @@
   }
   state.openRequests += 1;
   response.once('close', () => (state.openRequests -= 1));
-  await handler(request, response, organisation, dependencies);
+  try {
+    await handler(request, response, organisation, dependencies);
+  } catch (error) {
+    endFailedRequest(request, response, dependencies, error);
+  }
+}
+
+/**
+ * Ends a request whose handler has thrown. It may have run, so that its connection
+ * is closed without a response.
+ */
+function endFailedRequest(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  {context: {logger}}: GatewayDependencies,
+  error: unknown,
+): void {
+  logger.error('request_handler_failed', {
+    path: request.url,
+    message: error instanceof Error ? error.stack : String(error),
+  });
+  response.destroy();
 }
 
 function findHandler(
--- a/tools/prove_red.js
+++ b/tools/prove_red.js
@@ -248,6 +248,14 @@
     to: 'false',
     test: 'machine/odd_statuses',
   },
+  {
+    promise: 'a response is complete and belongs to its request',
+    mechanism: 'a request whose handler throws is ended',
+    file: 'packages/daemon/dist/gateway/handle_request.js',
+    from: 'response.destroy();',
+    to: '',
+    test: 'gateway/handle_request',
+  },
   {
     promise: 'callers get answers only',
     mechanism: 'a response to a control call with a broken head is no answer',
