Split the tests of broken heads as a newcomer reads them

Ruled out: a change of checks; cases, kinds, bounds and counts are the same.

Conclusion: no behaviour changed.

--- a/packages/stand_ins/src/invariants/broken_heads.test.ts
+++ b/packages/stand_ins/src/invariants/broken_heads.test.ts
@@ -17,6 +17,7 @@
 } from '../fleet/gateway_client.js';
 import {BrokenAnswerCycle} from '../http/broken_answer_cycle.js';
 import {BROKEN_MARK} from '../http/broken_heads.js';
+import {PARSERS} from '../http/parsers.js';
 import {BROKEN_PATH} from '../plain_service/plain_service_stand_in.js';
 import {createTestPlan, KEY, MODEL, RESERVATION_PATH} from './test_plan.js';
 
@@ -43,13 +44,8 @@
 /** Time for which the platform gives no other answers. */
 const BROKEN_PLATFORM_MILLISECONDS = 2_000;
 
-const PARSERS: ReadonlyArray<readonly [string, readonly string[]]> = [
-  ['the parser as it is', []],
-  ['a lax parser', ['--insecure-http-parser']],
-];
-
-for (const [parser, nodeOptions] of PARSERS) {
-  describe(`answers with broken heads to daemons behind ${parser}`, () => {
+for (const {description, nodeOptions} of PARSERS) {
+  describe(`answers with broken heads to daemons behind ${description}`, () => {
     let fleet: Fleet;
     let soundCaller: Promise<void>;
 
