Bound the rounds in tests of broken control answers

Ruled out: a timeout of the runner, which says nothing of how far a test came.

Conclusion: equally strict; a test that stalls fails by itself.

--- a/packages/stand_ins/src/invariants/broken_heads.test.ts
+++ b/packages/stand_ins/src/invariants/broken_heads.test.ts
@@ -35,6 +35,9 @@
 /** Time after the broken answers within which sound ones are used again. */
 const RECOVERY_MILLISECONDS = 5_000;
 
+/** Time in which the load of an engine is read as often as there are kinds. */
+const READS_MILLISECONDS = 30_000;
+
 /** Requests that are sent at most until all kinds of broken heads were given. */
 const MAXIMUM_REQUESTS = 500;
 
@@ -158,7 +161,9 @@
       const answers = new BrokenAnswerCycle();
       const engine = fleet.engine('modelo-1');
       engine.brokenLoads = answers;
+      const deadline = performance.now() + READS_MILLISECONDS;
       while (!answers.isComplete) {
+        assert.ok(performance.now() < deadline, `${answers.answerCount} reads`);
         await sleep(20);
       }
       engine.brokenLoads = undefined;
